Log what became of connections and attempts, by kind

The log told only which upstreams were put out. Ruled out: full tables of connections, a connect timer in the wrong unit, kept connections that had ended.

--- a/src/net/host.cpp
+++ b/src/net/host.cpp
@@ -20,6 +20,7 @@
 constexpr auto still_coming = milliseconds(450);
 constexpr auto drain_poll = milliseconds(10);
 constexpr Micros drain_slack = milliseconds(100);
+constexpr auto figures_gap = std::chrono::seconds(2);
 // Descriptors for what is neither a client's nor an upstream's.
 constexpr std::size_t spare_sockets = 32;
 
@@ -55,11 +56,13 @@
       timer_(loop),
       rewatch_(loop),
       drain_(loop),
+      figures_(loop),
       policy_(config_.settings, config_.seed, clock_.now(), *this) {
     discovery_.start_from(config_.known.version);
     handle([this](Time now) { tell_policy(now, ListKind::cached, config_.known); });
     if (!config_.settings.must_ask_list) discovery_.watch();
     clients_.listen(config_.listen);
+    log_figures();
     net::log("listening");
 }
 
@@ -278,6 +281,15 @@
     policy_.on_client_gone(now, request);
 }
 
+// For whoever looks into a bad day: a line every few seconds in which there was work.
+void Host::log_figures() {
+    if (const auto line = upstreams_.figures(); !line.empty()) net::log(line);
+    figures_.expires_after(figures_gap);
+    figures_.async_wait([this](error_code error) {
+        if (!error) log_figures();
+    });
+}
+
 // -------------------------------------------------------------------------------------------------- drain
 
 void Host::drain() {
--- a/src/net/host.h
+++ b/src/net/host.h
@@ -85,6 +85,7 @@
     void run_timers();
     void forget_if_over(RequestId request);
     void wind_down();
+    void log_figures();
 
     boost::asio::io_context& loop_;
     const Config config_;
@@ -104,6 +105,7 @@
     boost::asio::steady_timer timer_;
     boost::asio::steady_timer rewatch_;
     boost::asio::steady_timer drain_;
+    boost::asio::steady_timer figures_;
     bool draining_ = false;
     Time drain_end_{};
     bool drained_ = false;
--- a/src/net/upstreams.cpp
+++ b/src/net/upstreams.cpp
@@ -4,6 +4,8 @@
 #include <boost/asio/steady_timer.hpp>
 #include <charconv>
 #include <cmath>
+#include <cstdio>
+#include <utility>
 
 namespace flaxdoor::net {
 
@@ -63,6 +65,7 @@
         socket_.open(address.protocol(), error);
         if (!error) socket_.non_blocking(true, error);
         if (error) {
+            ++owner_.figures_.refused;
             end(Outcome::connect_failed);
             return;
         }
@@ -72,10 +75,14 @@
         socket_.async_connect(address, [self = shared_from_this()](error_code failed) {
             if (self->closed_) return;
             if (failed) {
+                ++self->owner_.figures_.refused;
                 self->end(Outcome::connect_failed);
                 return;
             }
             self->connected_ = true;
+            Figures& figures = self->owner_.figures_;
+            ++figures.made;
+            figures.slowest = std::max(figures.slowest, self->owner_.clock_.now() - self->since_);
             self->read();
             self->exchange();
         });
@@ -146,6 +153,7 @@
         } else if (owner_.clock_.now() >= expires_) {
             end(Outcome::moot);
         } else {
+            ++owner_.figures_.slow;
             end(Outcome::connect_failed);
         }
     }
@@ -196,7 +204,10 @@
         read();
     }
 
-    void broken() { end(whole() ? Outcome::reset : Outcome::connect_failed); }
+    void broken() {
+        owner_.figures_.unwritten += !whole();
+        end(whole() ? Outcome::reset : Outcome::connect_failed);
+    }
 
     void answered(bool ended) {
         const bool all_written = whole();
@@ -298,6 +309,7 @@
         Link link = std::move(pool.idle.back());
         pool.idle.pop_back();
         if (link->is_quiet()) return link;
+        ++figures_.stale;
         link->close();
     }
     return nullptr;
@@ -336,6 +348,10 @@
 
 void Upstreams::report(AttemptKey attempt, UpstreamId upstream, Outcome outcome, Time sent_at,
                        HttpResponse answer) {
+    ++figures_.sent;
+    figures_.reset += outcome == Outcome::reset;
+    figures_.timeout += outcome == Outcome::timeout;
+    figures_.moot += outcome == Outcome::moot;
     AttemptResult result{attempt, upstream, outcome, clock_.now() - sent_at, {}, std::move(answer)};
     if (!report_fields_.empty()) {
         const auto text = result.answer["X-Load-Report"];
@@ -344,6 +360,19 @@
     events_.on_attempt_result(std::move(result));
 }
 
+std::string Upstreams::figures() {
+    const Figures f = std::exchange(figures_, {});
+    if (f.sent == 0) return {};
+    char line[256];
+    std::snprintf(
+        line, sizeof line,
+        "attempts %u: reset %u, timeout %u, moot %u; connections %zu open, %u made (slowest %.1f ms), "
+        "%u refused, %u too slow, %u broke unwritten, %u found ended",
+        f.sent, f.reset, f.timeout, f.moot, open_, f.made, static_cast<double>(f.slowest.count()) / 1e3,
+        f.refused, f.slow, f.unwritten, f.stale);
+    return line;
+}
+
 void Upstreams::stop() {
     for (auto& [upstream, pool] : pools_) {
         for (const auto& link : pool.idle) link->close();
--- a/src/net/upstreams.h
+++ b/src/net/upstreams.h
@@ -61,6 +61,9 @@
 
     std::size_t idle(UpstreamId upstream) const;
 
+    // One line on what has become of connections and attempts since the last call; empty when nothing has.
+    std::string figures();
+
 private:
     class Connection;
     using Link = std::shared_ptr<Connection>;
@@ -69,6 +72,13 @@
         std::vector<Link> idle;  // the one used last stands last
     };
 
+    // Tells apart what the policy hears of as one outcome.
+    struct Figures {
+        unsigned sent = 0, made = 0, refused = 0, slow = 0, unwritten = 0, stale = 0, reset = 0, timeout = 0,
+                 moot = 0;
+        Micros slowest{};  // of the connections made
+    };
+
     Link take_idle(Pool& pool);
     bool make_room();
     void keep(const Link& link);
@@ -84,6 +94,7 @@
     std::unordered_map<UpstreamId, Pool> pools_;
     std::map<AttemptKey, Link> attempts_;
     std::size_t open_ = 0;
+    Figures figures_;
 };
 
 // Values in the order of `fields`; empty when the text doesn't hold them all as numbers.
