Carry out the probes that the policy asks for

Where probes are allowed the policy tries an upstream that it put out by a probe alone. The host now asks GET /health, or /status/load where probes carry the load report, on a kept connection if there is one, and reports the outcome once. No probe outlasts the longest aim.

--- a/src/net/host.cpp
+++ b/src/net/host.cpp
@@ -153,8 +153,17 @@
     actions_.push_back([=, this] { upstreams_.close_idle(upstream); });
 }
 
-// Neither is allowed where this balancer serves.
-void Host::probe(UpstreamId) { net::log("fault: the policy asked for a probe"); }
+// The policy sets a probe no limit: one that takes longer than any class may tells that none can be served.
+void Host::probe(UpstreamId upstream) {
+    actions_.push_back([=, this] {
+        Micros longest{};
+        for (const auto& c : config_.settings.classes) longest = std::max(longest, c.aim);
+        const bool reported = config_.settings.reports == ReportSource::probes;
+        upstreams_.probe(upstream, reported ? "/status/load" : "/health", clock_.now() + longest);
+    });
+}
+
+// Not allowed where this balancer serves.
 void Host::tell(std::optional<int>, std::string_view) { net::log("fault: the policy wrote to its peers"); }
 
 void Host::log(std::string_view line) { net::log(line); }
@@ -209,6 +218,10 @@
     handle([this, end](Time now) { policy_.on_attempt_end(now, end); });
 }
 
+void Host::on_probe_result(ProbeResult result) {
+    handle([this, result = std::move(result)](Time now) { policy_.on_probe_result(now, result); });
+}
+
 void Host::forget_if_over(RequestId request) {
     const auto found = open_.find(request);
     if (found != open_.end() && found->second.answered && found->second.in_flight == 0) open_.erase(found);
--- a/src/net/upstreams.cpp
+++ b/src/net/upstreams.cpp
@@ -11,6 +11,7 @@
 
 namespace {
 
+constexpr RequestId probe_request = 0;  // under which probes go: clients' requests count from 1
 constexpr double idle_share = 0.9;  // of the told idle limit, after which a kept connection is closed here
 
 Outcome outcome_of(const HttpResponse& answer) {
@@ -302,6 +303,12 @@
     }
 }
 
+void Upstreams::probe(UpstreamId upstream, std::string_view path, Time expires) {
+    HttpRequest request(http::verb::get, {path.data(), path.size()}, 11);
+    request.set(http::field::host, "upstream");
+    send({probe_request, ++probes_}, upstream, std::move(request), expires);
+}
+
 // Guards against a kept connection that has ended unnoticed so far: what is written to it would be a reset,
 // and may have run.
 Upstreams::Link Upstreams::take_idle(Pool& pool) {
@@ -348,11 +355,17 @@
 
 void Upstreams::report(AttemptKey attempt, UpstreamId upstream, Outcome outcome, Time sent_at,
                        HttpResponse answer) {
+    const Micros latency = clock_.now() - sent_at;
+    if (attempt.request == probe_request) {
+        // The body of a probe's answer is the load report, where there is one.
+        events_.on_probe_result({upstream, outcome, latency, parse_report(answer.body(), report_fields_)});
+        return;
+    }
     ++figures_.sent;
     figures_.reset += outcome == Outcome::reset;
     figures_.timeout += outcome == Outcome::timeout;
     figures_.moot += outcome == Outcome::moot;
-    AttemptResult result{attempt, upstream, outcome, clock_.now() - sent_at, {}, std::move(answer)};
+    AttemptResult result{attempt, upstream, outcome, latency, {}, std::move(answer)};
     if (!report_fields_.empty()) {
         const auto text = result.answer["X-Load-Report"];
         if (!text.empty()) result.report = parse_report({text.data(), text.size()}, report_fields_);
--- a/src/net/upstreams.h
+++ b/src/net/upstreams.h
@@ -38,6 +38,8 @@
     virtual ~UpstreamEvents() = default;
     // Exactly once for every attempt; may come while send() or cancel() is still on the stack.
     virtual void on_attempt_result(AttemptResult result) = 0;
+    // Exactly once for every probe; may come while probe() is still on the stack.
+    virtual void on_probe_result(ProbeResult result) = 0;
 };
 
 struct UpstreamLimits {
@@ -57,6 +59,8 @@
     // Sends the request once; what has not come by `expires` is given up.
     void send(AttemptKey attempt, UpstreamId upstream, HttpRequest request, Time expires);
     void cancel(AttemptKey attempt);
+    // Asks the upstream how it is, at the given path: a request like any other but for its kind of result.
+    void probe(UpstreamId upstream, std::string_view path, Time expires);
     void stop();
 
     std::size_t idle(UpstreamId upstream) const;
@@ -94,6 +98,7 @@
     std::unordered_map<UpstreamId, Pool> pools_;
     std::map<AttemptKey, Link> attempts_;
     std::size_t open_ = 0;
+    int probes_ = 0;
     Figures figures_;
 };
 
--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -259,6 +259,60 @@
     }
 }
 
+// An upstream that was put out is asked how it is, again after a bad answer, and a good one brings it back.
+TEST(Probes, BringAnUpstreamBack) {
+    Stage s;
+    s.config["settings"]["limits"]["may_probe"] = true;
+    s.start();
+    const auto client = s.client();
+    client->say(look());
+    int probes = 0;
+    bool back = false;
+    const auto serve = [&](Listener& upstream, bool sick) {
+        for (const auto& wire : upstream.wires) {
+            const auto message = wire->take();
+            if (message.empty()) continue;
+            if (has(message, "GET /health HTTP/1.1\r\n")) {
+                EXPECT_TRUE(sick);
+                EXPECT_FALSE(has(message, "X-Call-Id"));
+                wire->say(++probes == 1 ? "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n"
+                                        : ok());
+            } else if (sick && probes < 2) {
+                wire->say("HTTP/1.1 500 Internal Server Error\r\nContent-Length: 0\r\n\r\n");
+            } else {
+                back = back || sick;
+                wire->say(ok());
+            }
+        }
+    };
+    s.until([&] {
+        serve(*s.upstreams[0], true);
+        serve(*s.upstreams[1], false);
+        if (!client->take().empty()) client->say(look());
+        return back;
+    });
+    EXPECT_EQ(probes, 2);
+}
+
+TEST(Probes, BringTheLoadReportWhereProbesCarryIt) {
+    Stage s(1);
+    s.config["settings"]["limits"]["may_probe"] = true;
+    s.config["settings"]["load_report"]["how"] = "on_probe";
+    s.start();
+    const auto client = s.client();
+    client->say(look(100));
+    s.until([&] {
+        for (const auto& wire : s.upstreams[0]->wires) {
+            const auto message = wire->take();
+            if (has(message, "GET /status/load HTTP/1.1\r\n")) return true;
+            if (!message.empty())
+                wire->say("HTTP/1.1 500 Internal Server Error\r\nContent-Length: 0\r\n\r\n");
+        }
+        if (!client->take().empty()) client->say(look(100));
+        return false;
+    });
+}
+
 // --------------------------------------------------------------------------------------------- bad input
 
 TEST(BadInput, IsAnsweredAndGoesNoFurther) {
