Report an answer that can't be read as an error, not as a reset

The bytes were there each time: 'HTTP/1.1 OK 200', 'ICY 200 OK', two lengths, a bad chunk, endless headers, from upstreams that served everything else. As resets they cost two strikes and marked the upstream as died, which no later answer takes back: by second 4 half of the list was so marked, and those are left out when the module takes any upstream it can get. Such an answer is now an error: it may have run, and its upstream is alive. A connection that ends before the answer is whole stays a reset.

Ruled out: stale kept connections (0 found ended), upstreams that crash (0 refused until second 9).

--- a/src/net/upstreams.cpp
+++ b/src/net/upstreams.cpp
@@ -191,10 +191,10 @@
             buffer_.consume(parser_->put(buffer_.data(), error));
             if (error || !parser_->is_done() || parser_->get().result_int() >= 200) break;
             // Nobody asked for another protocol: nothing that follows could be understood.
-            if (parser_->get().result() == http::status::switching_protocols) return broken();
+            if (parser_->get().result() == http::status::switching_protocols) return unreadable();
             start_answer();  // an interim answer: the final one follows
         }
-        if (error && error != http::error::need_more) return broken();
+        if (error && error != http::error::need_more) return unreadable();
         if (ended == asio::error::eof && parser_->got_some() && !parser_->is_done()) {
             error_code cut;
             parser_->put_eof(cut);
@@ -210,6 +210,13 @@
         end(whole() ? Outcome::reset : Outcome::connect_failed);
     }
 
+    // The upstream is there and has answered, if not as it must: unlike a connection that broke, this says
+    // nothing of its death. The request may have run.
+    void unreadable() {
+        ++owner_.figures_.unreadable;
+        end(whole() ? Outcome::error : Outcome::connect_failed);
+    }
+
     void answered(bool ended) {
         const bool all_written = whole();
         HttpResponse answer = parser_->release();
@@ -377,12 +384,12 @@
     const Figures f = std::exchange(figures_, {});
     if (f.sent == 0) return {};
     char line[256];
-    std::snprintf(
-        line, sizeof line,
-        "attempts %u: reset %u, timeout %u, moot %u; connections %zu open, %u made (slowest %.1f ms), "
-        "%u refused, %u too slow, %u broke unwritten, %u found ended",
-        f.sent, f.reset, f.timeout, f.moot, open_, f.made, static_cast<double>(f.slowest.count()) / 1e3,
-        f.refused, f.slow, f.unwritten, f.stale);
+    std::snprintf(line, sizeof line,
+                  "attempts %u: unreadable %u, reset %u, timeout %u, moot %u; connections %zu open, %u made "
+                  "(slowest %.1f ms), "
+                  "%u refused, %u too slow, %u broke unwritten, %u found ended",
+                  f.sent, f.unreadable, f.reset, f.timeout, f.moot, open_, f.made,
+                  static_cast<double>(f.slowest.count()) / 1e3, f.refused, f.slow, f.unwritten, f.stale);
     return line;
 }
 
--- a/src/net/upstreams.h
+++ b/src/net/upstreams.h
@@ -78,8 +78,8 @@
 
     // Tells apart what the policy hears of as one outcome.
     struct Figures {
-        unsigned sent = 0, made = 0, refused = 0, slow = 0, unwritten = 0, stale = 0, reset = 0, timeout = 0,
-                 moot = 0;
+        unsigned sent = 0, made = 0, refused = 0, slow = 0, unwritten = 0, stale = 0, unreadable = 0,
+                 reset = 0, timeout = 0, moot = 0;
         Micros slowest{};  // of the connections made
     };
 
