Follow discovery to a new address on SIGHUP instead of ending

It now reads the configuration anew, moves the watch to discovery's new address at once, from the version last heard, and carries on with the old settings when the file can't be read. A fault shown by the tests: the program test ended with 129, and no watch came to the new address.

--- a/src/main.cpp
+++ b/src/main.cpp
@@ -24,17 +24,33 @@
     }
 }
 
+// A configuration that can't be read leaves the one in force: a balancer that serves on is worth more.
+void heed_changes(boost::asio::signal_set& changes, Host& host) {
+    changes.async_wait([&](const boost::system::error_code& error, int) {
+        if (error) return;
+        try {
+            host.reconfigure(configuration());
+        } catch (const std::exception& unreadable) {
+            log(std::string("flaxdoor: ") + unreadable.what());
+        }
+        heed_changes(changes, host);
+    });
+}
+
 }  // namespace
 
 int main() {
     std::signal(SIGPIPE, SIG_IGN);
     try {
         boost::asio::io_context loop(1);
-        boost::asio::signal_set signals(loop, SIGTERM, SIGINT);  // kept for when the host is there to drain
+        // Kept for when the host is there to heed them.
+        boost::asio::signal_set signals(loop, SIGTERM, SIGINT);
+        boost::asio::signal_set changes(loop, SIGHUP);
         Host host(loop, configuration());
         signals.async_wait([&](const boost::system::error_code& error, int) {
             if (!error) host.drain();
         });
+        heed_changes(changes, host);
         loop.run();
     } catch (const std::exception& error) {
         log(std::string("flaxdoor: ") + error.what());
--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -192,12 +192,14 @@
 Discovery::~Discovery() { stop(); }
 
 void Discovery::watch() {
+    wanted_ = true;
     if (watch_) return;
     watch_ = std::make_shared<Call>(*this, "/v1/endpoints?stream=1&index=" + std::to_string(version_), true);
     watch_->start();
 }
 
 void Discovery::unwatch() {
+    wanted_ = false;
     if (watch_) watch_->drop();
     watch_.reset();
 }
@@ -208,6 +210,17 @@
     fetch_->start();
 }
 
+// Guards against news missed while whoever asked waits out a gap after a failed call to the old address: the
+// watch is begun at once, and its first answer is as good as any.
+void Discovery::move_to(const tcp::endpoint& address) {
+    if (address == address_) return;
+    address_ = address;
+    const bool watching = wanted_, fetching = fetch_ != nullptr;
+    stop();
+    if (watching) watch();
+    if (fetching) fetch();
+}
+
 void Discovery::stop() {
     unwatch();
     if (fetch_) fetch_->drop();
--- a/src/net/discovery.h
+++ b/src/net/discovery.h
@@ -55,6 +55,8 @@
     void watch();  // resumes after the last version heard; nothing while a watch is open
     void unwatch();
     void fetch();  // the whole list, once
+    // Discovery is found at another address from now on: what is under way there is begun anew.
+    void move_to(const boost::asio::ip::tcp::endpoint& address);
     void stop();
 
 private:
@@ -63,10 +65,11 @@
     void ended(Call& call, const char* why);
 
     boost::asio::io_context& loop_;
-    const boost::asio::ip::tcp::endpoint address_;
+    boost::asio::ip::tcp::endpoint address_;
     const ListNames names_;
     DiscoveryEvents& events_;
     std::uint64_t version_ = 0;
+    bool wanted_ = false;  // a watch has been asked for, and may have failed since
     std::shared_ptr<Call> watch_;
     std::shared_ptr<Call> fetch_;
 };
--- a/src/net/host.cpp
+++ b/src/net/host.cpp
@@ -294,6 +294,12 @@
     policy_.on_client_gone(now, request);
 }
 
+void Host::reconfigure(const Config& config) {
+    if (drained_) return;
+    net::log("configuration read anew");
+    discovery_.move_to(config.discovery);
+}
+
 // For whoever looks into a bad day: a line every few seconds in which there was work.
 void Host::log_figures() {
     if (const auto line = upstreams_.figures(); !line.empty()) net::log(line);
--- a/src/net/host.h
+++ b/src/net/host.h
@@ -30,6 +30,9 @@
 
     boost::asio::ip::tcp::endpoint address() const { return clients_.address(); }
 
+    // Takes over what may change while the program runs: the address of discovery.
+    void reconfigure(const Config& config);
+
     // Serves on for a while, then answers what is held and stops the loop.
     void drain();
     bool drained() const { return drained_; }
--- a/tests/balancer_test.sh
+++ b/tests/balancer_test.sh
@@ -32,7 +32,8 @@
 balancer_pid=$!
 exec 3<"$scratch/log"
 while read -r line <&3; do
-    [ "$line" = listening ] && kill -TERM $balancer_pid
+    [ "$line" = listening ] && kill -HUP $balancer_pid
+    [ "$line" = "configuration read anew" ] && kill -TERM $balancer_pid
     [ "$line" = drained ] && break
 done
 wait $balancer_pid || fail "SIGTERM must end it with 0"
--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -468,6 +468,33 @@
     }
 }
 
+// Discovery that has moved is asked at its new address at once, from the version last heard, whether the old
+// watch still stood or had failed; to the policy it is the same watch.
+TEST(Discovery, IsFollowedToAnotherAddress) {
+    for (const bool stood : {true, false}) {
+        Stage s;
+        s.config["settings"]["invariants"]["ask_within"] = 100000.0;  // no call of the policy's own meanwhile
+        s.start();
+        s.host->reconfigure(net::parse_config(s.config.dump()));  // nothing has changed
+        auto& calls = s.discovery.wires;
+        s.until([&] { return !calls.empty() && has(calls[0]->in, "\r\n\r\n"); });
+        calls[0]->say(watch_head + chunk(s.list(9, false).dump() + "\n"));
+        if (!stood) calls[0]->close();
+        const auto client = s.client();  // served: the list and the end of the call have been seen by then
+        client->say(look());
+        s.request().first->say(ok());
+        EXPECT_EQ(status(s.answer(*client)), 200);
+        EXPECT_EQ(calls.size(), 1U);
+        Listener moved(s.loop);
+        s.config["discovery"] = text_of(moved.address());
+        s.host->reconfigure(net::parse_config(s.config.dump()));
+        s.until([&] { return !moved.wires.empty() && has(moved.wires[0]->in, "\r\n\r\n"); });
+        EXPECT_TRUE(has(moved.wires[0]->in, "GET /v1/endpoints?stream=1&index=9 HTTP/1.1\r\n")) << stood;
+        if (stood) s.until([&] { return calls[0]->ended; });
+        s.host.reset();
+    }
+}
+
 // What a watch says of an upstream holds from then on: one that leaves gets nothing new.
 TEST(Discovery, ListsArePassedOn) {
     Stage s;
