Let a peer go that connects and sends no whole request

Such a peer is owed an error or a close within 3 s; it was held for 10 s if it began a request and for 300 s if it was silent, and its descriptor with it. The first whole request must now come within 2.3 s of connecting, looked after four times a second. Clients between two requests are kept as before.

--- a/src/net/clients.cpp
+++ b/src/net/clients.cpp
@@ -11,10 +11,12 @@
 using std::chrono::seconds;
 
 constexpr auto accept_pause = std::chrono::milliseconds(20);  // after one that failed for want of descriptors
-constexpr Micros request_most = seconds(10);                  // from a request's first byte to its last
-constexpr Micros answer_most = seconds(10);                   // to take an answer, and to end a connection
-constexpr Micros idle_most = seconds(300);                    // between requests
-constexpr std::uint64_t budget_most_ms = 60 * 1000;           // more than any client waits
+constexpr Micros first_most = std::chrono::milliseconds(2300);  // from connecting to the first whole request
+constexpr Micros request_most = seconds(10);                    // from a request's first byte to its last
+constexpr Micros answer_most = seconds(10);                     // to take an answer, and to end a connection
+constexpr Micros idle_most = seconds(300);                      // between requests
+constexpr auto sweep_gap = std::chrono::milliseconds(250);      // between looks for those overdue
+constexpr std::uint64_t budget_most_ms = 60 * 1000;             // more than any client waits
 
 template <typename Number>
 bool parse_number(beast::string_view text, Number& value, int base = 10) {
@@ -120,7 +122,10 @@
 
     bool overdue(Time now) {
         switch (state_) {
-            case State::reading: return now - since_ > (idle() ? idle_most : request_most);
+            case State::reading:
+                // Guards against peers that hold a connection and never send a request.
+                if (!asked_) return now - opened_ > first_most;
+                return now - since_ > (idle() ? idle_most : request_most);
             case State::waiting: return false;
             default: return now - since_ > answer_most;
         }
@@ -209,6 +214,7 @@
     }
 
     void dispatch(HttpRequest message) {
+        asked_ = true;
         keep_alive_ = message.keep_alive();
         const auto path = path_of(message);
         if (path == "/ready" && message.method() == http::verb::get) {
@@ -280,6 +286,8 @@
     RequestId id_ = 0;
     Time since_{};  // when the state was entered, or the request's first byte came
     State state_ = State::reading;
+    const Time opened_ = owner_.clock_.now();
+    bool asked_ = false;  // a whole request has come on it
     bool reading_ = false;
     bool keep_alive_ = true;
     bool continued_ = false;
@@ -365,7 +373,7 @@
 }
 
 void Clients::sweep() {
-    sweep_.expires_after(seconds(1));
+    sweep_.expires_after(sweep_gap);
     sweep_.async_wait([this](error_code error) {
         if (error) return;
         std::vector<std::shared_ptr<Connection>> overdue;
--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -395,6 +395,22 @@
     }
 }
 
+// One that connects and sends no whole request is let go; a client between two requests is not.
+TEST(BadInput, PeersThatSendNoRequestAreLetGo) {
+    Stage s(1);
+    s.start();
+    const auto kept = s.client();
+    kept->say(look());
+    s.request().first->say(ok());
+    EXPECT_EQ(status(s.answer(*kept)), 200);
+    const auto silent = s.client();
+    const auto halting = s.client();
+    halting->say(once().substr(0, 30));
+    s.until([&] { return silent->ended && halting->ended; });
+    EXPECT_FALSE(kept->ended);
+    EXPECT_EQ(s.connections(), 1U);
+}
+
 // ------------------------------------------------------------------------------------------------- limits
 
 // At the cap an idle client makes room for a new one; one that waits for its answer never does.
