Accept a waiting client as soon as a connection is idle

At the cap with all connections busy, a new connection was looked at again only when one closed. Clients keep theirs, so it could wait for good though the cap was held by idle ones.

--- a/src/net/clients.cpp
+++ b/src/net/clients.cpp
@@ -254,6 +254,7 @@
             return;
         }
         expect_request();
+        owner_.accept_soon();  // this one can make room now
         if (buffer_.size() == 0) return;
         // Not from here: this may be under the call that brought the last request.
         asio::post(owner_.loop_, [self = shared_from_this()] {
@@ -333,7 +334,7 @@
 // Room is made only for a connection that has come: one that is closed ahead of need may have a request on
 // its way.
 void Clients::take_connection() {
-    if (connections_.size() >= most_ && !make_room()) return;  // goes on when a connection closes
+    if (connections_.size() >= most_ && !make_room()) return;  // goes on when one closes or is idle
     tcp::socket socket(loop_);
     error_code error;
     acceptor_.accept(socket, error);
@@ -405,6 +406,10 @@
 
 void Clients::closed(Connection* connection) {
     connections_.erase(connection);
+    accept_soon();
+}
+
+void Clients::accept_soon() {
     if (!accepting_) asio::post(loop_, [this] { accept(); });
 }
 
--- a/src/net/clients.h
+++ b/src/net/clients.h
@@ -54,6 +54,7 @@
 
     void accept();
     void take_connection();
+    void accept_soon();
     void accept_later();
     bool make_room();
     void sweep();
--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -432,6 +432,24 @@
     EXPECT_EQ(status(s.answer(*busy)), 200);
 }
 
+// A connection that had to wait because all were busy is taken as soon as one of them is idle again.
+TEST(Limits, ANewClientWaitsOnlyUntilOneIsIdle) {
+    Stage s(1);
+    s.config["limits"]["sockets"] = 36;  // two of them for clients
+    s.start();
+    const auto first = s.client(), second = s.client();
+    first->say(look(15000, "first"));
+    second->say(look(15000, "second"));
+    const auto served = s.request();
+    const auto held = s.request();
+    const auto third = s.client();
+    third->say("GET /ready HTTP/1.1\r\nHost: x\r\n\r\n");
+    served.first->say(ok());
+    s.until([&] { return !first->in.empty() || !second->in.empty(); });
+    EXPECT_EQ(status(s.answer(*third)), 200);
+    held.first->say(ok());
+}
+
 // ---------------------------------------------------------------------------------------------- discovery
 
 // The policy asks for its first timers while it is made: the host's queue must be there by then.
