Try a class again soon where a few of its requests were lost by chance

An upstream that lost most of a class's last few requests got none of that class for half a ramp, 12 s. The time out now grows from a few T1 to the old length with how surely the class is lost there.

--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -973,8 +973,7 @@
                 if (u.out) come_back(u, now);
                 u.died = false;
                 return;
-            case Outcome::full:  // guards against upstreams that turn everything away, at once and so
-                                 // attractively
+            case Outcome::full:  // turning everything away at once makes an upstream attractive
             case Outcome::error:
                 u.answered_at = now;
                 strike(u, 1, now);
@@ -1003,7 +1002,9 @@
         Service& service = u.services[c];
         service.lost += lost_weight * (lost - service.lost);
         if (lost && service.lost > std::max(lost_share, lost_more * classes_[c].lost)) {
-            service.out_until = now + longest_penalty();
+            const double sure = (service.lost - lost_share) / (1 - lost_share);  // a few lost may be chance
+            service.out_until =
+                now + first_penalty() + micros(sure * sure * us(longest_penalty() - first_penalty()));
         }
     }
 
--- a/tests/decide_test.cpp
+++ b/tests/decide_test.cpp
@@ -887,6 +887,37 @@
     EXPECT_GE(of_safe[1], 10);
 }
 
+// A few losses in a row come by chance: the class is tried there again soon, and the longer it is lost there,
+// the later.
+TEST(Health, AClassLostByChanceIsTriedAgainSoon) {
+    Rig rig;
+    rig.fleet(2);
+    Outcome there = Outcome::ok;
+    const auto serve = [&](int class_index) {
+        const auto id = rig.request(class_index);
+        if (rig.sink.sends(id) != 1) return UpstreamId{0};
+        const UpstreamId to = rig.sink.submits.back().upstream;
+        rig.now += ms(10);
+        rig.end(id, 0, to == 1 && class_index == unsafe ? there : Outcome::ok);
+        return to;
+    };
+    const auto met = [&](int requests) {
+        int times = 0;
+        for (int i = 0; i < requests; ++i) {
+            times += serve(unsafe) == 1;
+            serve(safe);
+        }
+        return times;
+    };
+    EXPECT_GT(met(100), 20);
+    there = Outcome::timeout;
+    const int losses = met(100);
+    EXPECT_GE(losses, 4);
+    EXPECT_LE(losses, 20);
+    there = Outcome::ok;
+    EXPECT_GT(met(100), 20);  // two seconds: half of the longest time out
+}
+
 // Guards against idle connections that are dropped unseen: old ones get no answer, young ones do.
 TEST(Connections, ThoseOfAnAgeThatGetsNoAnswerAreClosedBeforeASend) {
     // How often they were closed before an old one was used, and before a young one, in 20 rounds of both.
