Make room in the module: drop copies of running attempts and warm keys

Two attempts at once are never allowed here and no upstream is told to keep warm keys, so neither branch ran. That no second attempt goes out while one is out now holds without a setting. Their five tests go with them; the property test checks the rule outright.

--- a/include/flaxdoor/decide.h
+++ b/include/flaxdoor/decide.h
@@ -100,12 +100,10 @@
     bool must_ask_list = false;  // the list comes only after watch() or fetch()
     bool may_probe = false;
     bool may_cancel = false;
-    bool parallel_attempts = false;  // two attempts of one request may run at once
-    bool retry_after = false;        // refusals may carry advice on when to come back
-    bool warm_keys = false;          // an upstream that met a key lately does less work for it
-    bool passes_deadline = false;    // an upstream's own calls get only the time that its request has left
-    bool marks_retry = false;        // clients mark their retries: Request::client_retry tells
-    bool may_tell_peers = false;     // tell() is allowed
+    bool retry_after = false;      // refusals may carry advice on when to come back
+    bool passes_deadline = false;  // an upstream's own calls get only the time that its request has left
+    bool marks_retry = false;      // clients mark their retries: Request::client_retry tells
+    bool may_tell_peers = false;   // tell() is allowed
     Weights weights = Weights::none;
     int max_attempts = 1;
     int max_open = 0;          // requests that a balancer can have open; more never reach it; 0: not told
--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -29,11 +29,9 @@
 constexpr double delay_weight = 0.1;  // w_q: least weight of a new delay sample, the paper's value
 constexpr double gate_low = 0.2;      // q_min as a share of T1: below it every retry passes
 constexpr double gate_high = 1.0;     // q_max as a share of T1: above it none does
-// Both are so much lower for a copy of an attempt that still runs (0.1 to 1 tried: the less the better).
-constexpr double copy_share = 0.03;
-constexpr double t1_deviations = 4;  // T1 = usual latency + so many mean deviations, as TCP's timer does,
-constexpr double t1_least = 0.25;    //   but at least this share of the aim
-constexpr double t1_most = 0.8;      //   and at most this one (0.5: retries far too early; 1: no better)
+constexpr double t1_deviations = 4;   // T1 = usual latency + so many mean deviations, as TCP's timer does,
+constexpr double t1_least = 0.25;     //   but at least this share of the aim
+constexpr double t1_most = 0.8;       //   and at most this one (0.5: retries far too early; 1: no better)
 constexpr double latency_weight = 1.0 / 64;  // weight of one answer in the usual latency of a class
 constexpr int max_strikes = 4;               // failures in a row that put an upstream out
 constexpr int hard_strikes = 2;              // a failed connection counts so many
@@ -70,10 +68,8 @@
 constexpr std::size_t at_once =
     2;  // first attempts after which no gap is waited out if they never ran (1 tried)
 // A balancer's share of a zone.
-constexpr double hearings = 8;  // answers that it should get from each before it forgets
-constexpr double coverage = 2;  // shares that an upstream should be in at least
-constexpr std::size_t key_shares =
-    3;  // so many shares where keys draw the pair, to keep them warm (1, 2, all tried)
+constexpr double hearings = 8;                 // answers that it should get from each before it forgets
+constexpr double coverage = 2;                 // shares that an upstream should be in at least
 constexpr double golden = 0.6180339887498949;  // turns of the ring from one rank's place to the next: even
 constexpr std::size_t least_share = 4;         // upstreams, so that a pair has a choice when some are out
 // How long an idle connection is trusted: by age, in steps that double.
@@ -87,7 +83,6 @@
 constexpr double stale_t1s = 32;      // a step is tried again after so many longest T1s
 // Time constants, in longest T1s or as shares of told times.
 constexpr double decay_t1s = 4;      // without news, delay and what goes with it decay over so many
-constexpr double news_t1s = 1;       // for a copy, news of an upstream counts so long (4: copies still cost)
 constexpr double silence_t1s = 2;    // an upstream that answers nothing for so many is silent
 constexpr double early_share = 0.5;  // of the aim: an original may wait a gap that ends before it
 constexpr double beat_t1s = 0.25;    // gap between beats, by which a stall of our own is seen
@@ -469,14 +464,9 @@
         }
     }
 
-    // p = min{[(q_max - q_avg) / (q_max - q_min)]^+, 1}. Guards against copies that double the work of late
-    // requests and so make others late: while the first attempt runs, a copy passes only where there is known
-    // to be hardly any delay. One of many balancers hears so seldom from an upstream that its delay has
-    // decayed to nothing, and silence is not idleness.
+    // p = min{[(q_max - q_avg) / (q_max - q_min)]^+, 1}
     bool passes_gate(const Upstream& u, const Open& r, Time now) {
-        const bool copy = r.in_flight > 0;
-        if (copy && us(now - u.delay_at) > news_t1s * longest_t1_us_) return false;
-        const double t1 = classes_[class_of(r)].t1_us * (copy ? copy_share : 1);
+        const double t1 = classes_[class_of(r)].t1_us;
         const double p = (gate_high * t1 - delay(u, now)) / ((gate_high - gate_low) * t1);
         return p >= 1 || (p > 0 && random_.unit() < p);
     }
@@ -515,10 +505,8 @@
     double unanswered(std::size_t age, Time now) const { return unanswered_[age].now(now, stale_us()); }
     double stale_us() const { return stale_t1s * longest_t1_us_; }
 
-    // One that a copy has overtaken after its timer got no answer either.
-    void learn_age(std::size_t age, const AttemptEnd& end, double t1_us, Time now) {
-        const bool lost = end.outcome == Outcome::timeout || end.outcome == Outcome::reset ||
-                          (end.outcome == Outcome::cancelled && us(end.latency) > t1_us);
+    void learn_age(std::size_t age, const AttemptEnd& end, Time now) {
+        const bool lost = end.outcome == Outcome::timeout || end.outcome == Outcome::reset;
         if (!lost && end.outcome != Outcome::ok && end.outcome != Outcome::error) return;
         unanswered_[age].learn(lost, age_weight, now, stale_us());
     }
@@ -560,8 +548,8 @@
     // new work. Returns whether at least half of those that it met are.
     template <typename Allowed>
     bool gather(const std::vector<std::size_t>& ring, std::vector<std::size_t>& pool, std::size_t c, Time now,
-                bool by_key, bool lenient, Allowed allowed) {
-        const std::size_t most = share_size(ring.size()) * (by_key ? key_shares : 1);
+                bool lenient, Allowed allowed) {
+        const std::size_t most = share_size(ring.size());
         const double turn = s_.rank * golden;
         const auto place = static_cast<std::size_t>((turn - std::floor(turn)) * ring.size());
         std::size_t met = 0, ready = 0;
@@ -586,16 +574,15 @@
         home_.clear();
         away_.clear();
         if (room_used(room() * share)) return;
-        const bool by_key = drawn_by_key(r.request.key);
         const auto gather_away = [&](bool lenient) {
-            if (away_.empty()) gather(away_ring_, away_, c, now, by_key, lenient, allowed);
+            if (away_.empty()) gather(away_ring_, away_, c, now, lenient, allowed);
         };
         // Under half of the zone is ready: the rest can't carry it. The same while the list is only a cached
         // one: servers of the zone may have restarted cold meanwhile, and this balancer can't tell. When the
         // whole fleet looks unfit, the trouble is not theirs alone: slow ones count as ready.
         bool spilled = false;
         for (const bool lenient : {false, true}) {
-            const bool half = gather(home_ring_, home_, c, now, by_key, lenient, allowed);
+            const bool half = gather(home_ring_, home_, c, now, lenient, allowed);
             spilled = !half || home_.empty() || !fresh_;
             if (spilled) gather_away(lenient);
             home_.insert(home_.end(), away_.begin(), away_.end());
@@ -626,33 +613,14 @@
         }
     }
 
-    bool drawn_by_key(std::uint64_t key) const { return s_.warm_keys && key != 0; }
-
-    // Moves a fresh pair to the front of the pool, the one with fewer of ours in flight first. The pair is
-    // random; where upstreams do less work for keys that they met lately, chance is the key's own: every
-    // request of a key draws the same two of those that have room, at every balancer, so that popular keys
-    // still have a choice.
-    void draw_pair(std::uint64_t key) {
+    // Moves a fresh random pair to the front of the pool, the one with fewer of ours in flight first.
+    void draw_pair() {
         if (home_.size() < 2) return;
-        if (drawn_by_key(key)) {
-            for (std::size_t front = 0; front < 2; ++front) {
-                std::size_t best = front;
-                for (std::size_t i = front + 1; i < home_.size(); ++i) {
-                    if (key_rank(key, home_[i]) > key_rank(key, home_[best])) best = i;
-                }
-                std::swap(home_[front], home_[best]);
-            }
-        } else {
-            std::swap(home_[0], home_[random_.below(home_.size())]);
-            std::swap(home_[1], home_[1 + random_.below(home_.size() - 1)]);
-        }
+        std::swap(home_[0], home_[random_.below(home_.size())]);
+        std::swap(home_[1], home_[1 + random_.below(home_.size() - 1)]);
         if (upstreams_[home_[1]].in_flight < upstreams_[home_[0]].in_flight) std::swap(home_[0], home_[1]);
     }
 
-    std::uint64_t key_rank(std::uint64_t key, std::size_t i) const {
-        return Random(key ^ Random(upstreams_[i].entry.id).next()).next();
-    }
-
     // ------------------------------------------------------------------- 4. attempt life and retries
 
     void on_request(Time now, const Request& request) {
@@ -717,7 +685,7 @@
         const std::size_t c = class_of(open_[slot]);
         if (const std::size_t trial = find_trial(c, now); trial != none) return submit(slot, trial, now);
         fill_pool(open_[slot], now, [](std::size_t) { return true; });
-        draw_pair(open_[slot].request.key);
+        draw_pair();
         return !home_.empty() && submit(slot, home_[0], now);
     }
 
@@ -726,7 +694,7 @@
         const Open& r = open_[slot];
         const std::size_t failed = r.attempts.empty() ? none : r.attempts.back().upstream;
         fill_pool(r, now, [&](std::size_t i) { return i != failed && may_send(r, i, now); });
-        draw_pair(open_[slot].request.key);
+        draw_pair();
         for (const std::size_t i : home_) {
             if (passes_gate(upstreams_[i], r, now)) return submit(slot, i, now);
         }
@@ -738,7 +706,7 @@
         const ClassSettings& c = s_.classes[class_of(r)];
         if (r.done || now >= r.request.deadline) return false;
         if (static_cast<int>(r.attempts.size()) >= s_.max_attempts) return false;
-        if (r.in_flight > 0 && !s_.parallel_attempts) return false;
+        if (r.in_flight > 0) return false;
         if (c.effect == Effect::safe) return true;
         for (const auto& a : r.attempts) {
             if (!a.may_have_run) continue;
@@ -776,9 +744,7 @@
         count_held(now);
         spend_cold_budget(u);
         const Micros left = r.request.deadline - now;
-        const bool by_timer = !s_.parallel_attempts && timer > Micros{0};
-        actions_.submit(r.request.id, u.entry.id, by_timer ? timer : left);
-        if (s_.parallel_attempts && timer > Micros{0}) set_wake(slot, now + timer);
+        actions_.submit(r.request.id, u.entry.id, timer > Micros{0} ? timer : left);
         return true;
     }
 
@@ -787,9 +753,7 @@
     }
 
     // The attempt time-out is the retry timer. There is none where it could gain nothing: no further attempt
-    // would be allowed after it, or none would fit before the deadline. Where two attempts may run at once,
-    // the timer does not end the attempt: as in the paper, the first answer counts, whichever copy it comes
-    // from.
+    // would be allowed after it, or none would fit before the deadline.
     Micros attempt_timer(const Open& r, Time now) const {
         const ClassSettings& c = s_.classes[class_of(r)];
         const Micros timer = gap(r);
@@ -830,18 +794,6 @@
         }
     }
 
-    // The timer fired while the attempt still runs: it counts as a delay of that length at its upstream, and
-    // a copy may go out if the gate finds it a place. If it is gated, the first one is waited for.
-    void overdue(std::size_t slot, Time now) {
-        Open& r = open_[slot];
-        const Attempt& last = r.attempts.back();
-        if (last.in_flight) sample_delay(upstreams_[last.upstream], us(now - last.sent_at), now);
-        ++r.round;
-        if (send_retry(slot, now)) return;
-        const Micros timer = attempt_timer(r, now);
-        if (timer > Micros{0}) set_wake(slot, now + timer);
-    }
-
     void on_attempt_end(Time now, const AttemptEnd& end) {
         const std::size_t slot = find_open(end.request);
         if (slot == none) return;
@@ -859,7 +811,7 @@
         u.refused = end.outcome == Outcome::connect_failed;
         if (a.first) refused_links_.learn(u.refused, age_weight, now, decay_us());
         close_idle(u);
-        learn_age(a.age, end, classes_[class_of(r)].t1_us, now);
+        learn_age(a.age, end, now);
         count_held(now);
         const std::size_t c = class_of(r);
         if (end.outcome == Outcome::ok) {
@@ -873,11 +825,9 @@
         learn_health(u, end.outcome, c, now);
         if (end.closed) r.done = true;
         if (r.done) {
-            if (end.outcome == Outcome::ok) cancel_in_flight(slot);
             release_if_over(slot);
             return;
         }
-        if (r.in_flight > 0) return;
         if (!may_try_again(r, now)) {
             finish(slot);
             return;
@@ -929,12 +879,7 @@
         const std::size_t slot = token >> 32 & 0x0fffffffU;
         if (kind != TimerKind::wake || slot >= open_.size()) return;
         Open& r = open_[slot];
-        if (r.done || r.wake != serial) return;
-        if (r.in_flight > 0) {
-            overdue(slot, now);
-        } else {
-            wake(slot, now);
-        }
+        if (!r.done && r.wake == serial) wake(slot, now);
     }
 
     void release_if_over(std::size_t slot) {
--- a/src/wire.cpp
+++ b/src/wire.cpp
@@ -508,9 +508,7 @@
     s.must_ask_list = mode == "ask";
     s.may_probe = facts.flag("limits.may_probe", false);
     s.may_cancel = facts.flag("limits.cancel", false);
-    s.parallel_attempts = facts.flag("limits.parallel_tries", false);
     s.retry_after = facts.flag("limits.retry_after", false);
-    s.warm_keys = facts.flag("specifics.warm_keys", false);
     s.passes_deadline = facts.flag("specifics.passes_deadline", false);
     s.marks_retry = facts.flag("callers.marks_retry", false);
     s.may_tell_peers = facts.flag("limits.peers", false);
--- a/tests/decide_test.cpp
+++ b/tests/decide_test.cpp
@@ -187,10 +187,8 @@
     EXPECT_EQ(rig.sink.failed, std::vector<RequestId>{zone});
 }
 
-TEST(NoEffectTwice, OneAttemptAtATimeWhereCopiesAreNotAllowed) {
-    Settings s = plain_settings();
-    s.parallel_attempts = false;
-    Rig rig(s);
+TEST(NoEffectTwice, OneAttemptAtATime) {
+    Rig rig;
     rig.fleet(3);
     const auto id = rig.request(safe);
     ASSERT_EQ(rig.sink.submits.size(), 1u);
@@ -223,7 +221,7 @@
     Rig rig(s);
     rig.fleet(1);
     rig.served();
-    const auto out = rig.wave(safe, 2);  // over the aim at most: no copy can go anywhere
+    const auto out = rig.wave(safe, 2);
     ASSERT_EQ(out.size(), 2u);
     EXPECT_TRUE(rig.sink.closed.empty());
     rig.list(ListKind::delta, {Rig::entry(1, 0, UpstreamState::draining)});
@@ -559,23 +557,6 @@
     EXPECT_LE(*most, 8);
 }
 
-TEST(Originals, KeysOfOneOfManyBalancersDrawAmongAFewShares) {
-    Settings s = plain_settings();
-    s.balancers = 40;
-    s.warm_keys = true;
-    Rig rig(s);
-    rig.fleet(40);
-    std::set<UpstreamId> used;
-    for (std::uint64_t key = 1; key < 100; ++key) {
-        const auto id = rig.request(safe, ms(1000), key);
-        if (rig.sink.sends(id) == 1) used.insert(rig.sink.submits.back().upstream);
-        rig.now += ms(200);
-        if (rig.sink.sends(id) == 1) rig.end(id, 0, Outcome::ok, ms(10));
-    }
-    EXPECT_GT(used.size(), 5u);
-    EXPECT_LE(used.size(), 13u);
-}
-
 TEST(Originals, ABusyBalancerUsesTheWholeZone) {
     Rig rig;
     rig.fleet(12);
@@ -604,29 +585,6 @@
     EXPECT_GE(living, 3u);
 }
 
-TEST(Originals, KeysDrawTheirPairWhereWarmKeysSaveWork) {
-    Settings s = plain_settings();
-    s.warm_keys = true;
-    Rig rig(s), other(s, 2);
-    std::set<UpstreamId> used;
-    for (Rig* r : {&rig, &other}) {  // the same at every balancer
-        r->fleet(8);
-        for (int i = 0; i < 50; ++i) {
-            const auto id = r->request(safe, ms(1000), 4711);
-            used.insert(r->sink.submits.back().upstream);
-            r->end(id, 0, Outcome::ok, ms(10));
-        }
-    }
-    EXPECT_LE(used.size(), 2u);
-    std::set<UpstreamId> all;
-    for (std::uint64_t key = 1; key < 100; ++key) {
-        const auto id = rig.request(safe, ms(1000), key);
-        all.insert(rig.sink.submits.back().upstream);
-        rig.end(id, 0, Outcome::ok, ms(10));
-    }
-    EXPECT_EQ(all.size(), 8u);
-}
-
 TEST(Retries, WhatWasTurnedAwayUnseenGoesOnAtOnceAndThenWaits) {
     Rig rig;
     rig.fleet(6);
@@ -687,55 +645,6 @@
     EXPECT_EQ(rig.sink.answers(id), 1u);
 }
 
-TEST(Retries, ACopyOfAnOverdueRequestLeavesTheFirstRunning) {
-    Settings s = plain_settings();
-    s.report_fields = {ReportField::in_flight};
-    Rig rig(s);
-    rig.fleet(3);
-    const auto id = rig.request(safe);
-    rig.run(rig.now + ms(60));
-    for (const auto other : rig.wave(unsafe, 6)) {  // the others tell that they hold nothing
-        rig.end(other, 0, Outcome::ok, ms(1), {0.0F});
-    }
-    rig.run(rig.now + ms(30));
-    ASSERT_EQ(rig.sink.sends(id), 2u);
-    EXPECT_NE(rig.sink.submits.front().upstream, rig.sink.submits.back().upstream);
-    EXPECT_TRUE(rig.sink.cancelled.empty());
-    rig.end(id, 0, Outcome::ok, ms(90));
-    ASSERT_EQ(rig.sink.cancelled.size(), 1u);  // the other can no longer count
-    EXPECT_EQ(rig.sink.cancelled[0].second, 1);
-}
-
-// Guards against taking silence for idleness.
-TEST(Retries, NoCopyGoesToAnUpstreamNotHeardFromLately) {
-    Rig rig;
-    rig.fleet(3);
-    const auto id = rig.request(safe);
-    rig.run(rig.now + ms(900));
-    EXPECT_EQ(rig.sink.sends(id), 1u);
-    rig.end(id, 0, Outcome::error, ms(900));  // but a retry of an ended attempt does
-    rig.run(rig.now + ms(99));
-    EXPECT_EQ(rig.sink.sends(id), 2u);
-}
-
-// Guards against copies that double the work of late requests and so make others late.
-TEST(Retries, ACopyNeedsFarLessDelayThanARetry) {
-    int copies = 0, retries = 0;
-    for (std::uint64_t seed = 1; seed <= 10; ++seed) {
-        Rig rig(plain_settings(), seed);
-        rig.fleet(3);
-        for (int i = 0; i < 60; ++i) rig.served(safe, ms(10));  // T1 25 ms, delay 10 ms everywhere
-        const auto id = rig.request(safe);
-        rig.run(rig.now + ms(30));
-        copies += rig.sink.sends(id) == 2;
-        rig.end(id, 0, Outcome::error, ms(30));
-        rig.run(rig.now + ms(30));
-        retries += rig.sink.sends(id) == 2;
-    }
-    EXPECT_EQ(copies, 0);
-    EXPECT_GE(retries, 8);
-}
-
 TEST(Retries, TheGateStopsThemWhenEveryTargetIsSlow) {
     Rig rig;
     rig.fleet(3);
@@ -1081,6 +990,7 @@
 TEST(AttemptLife, WhereALateAnswerIsWorthNothingTheRequestEndsWithItsAim) {
     Settings s = plain_settings();
     s.classes[unsafe].late_worth = 0;
+    s.max_attempts = 1;  // no timer: an attempt may take what is left
     Rig rig(s);
     rig.fleet(3);
     const auto id = rig.request(unsafe);
@@ -1096,10 +1006,10 @@
     EXPECT_EQ(rig.sink.submits.back().timeout, ms(1000));  // its late answers count
 }
 
-// Guards against a start into a crowd, which would teach its latencies as the usual ones.
 // Guards against a stall of the balancer itself: what waited meanwhile ends with the aim that it came with.
 TEST(AttemptLife, WhatWaitedInAStallOfOurOwnEndsWithItsTrueAim) {
     Settings s = plain_settings();
+    s.max_attempts = 1;
     for (auto& c : s.classes) c.late_worth = 0;
     const auto stalled = [&](Micros stall, Micros left) {
         Rig rig(s);
@@ -1122,6 +1032,7 @@
     EXPECT_EQ(stalled(ms(0), ms(800)), ms(100));  // a client's short try, no stall
 }
 
+// Guards against a start into a crowd, which would teach its latencies as the usual ones.
 TEST(Refusal, AtTheStartAllBalancersTogetherHoldFew) {
     Settings s = plain_settings();
     s.balancers = 10;
@@ -1226,7 +1137,7 @@
     Settings s = plain_settings();
     s.zones = 1;
     s.max_attempts = 1;
-    s.may_cancel = s.parallel_attempts = false;
+    s.may_cancel = false;
     s.classes[safe].streams = true;
     Rig rig(s);
     rig.fleet(1);
--- a/tests/property_test.cpp
+++ b/tests/property_test.cpp
@@ -39,7 +39,7 @@
         EXPECT_EQ(to.state, UpstreamState::ready) << "sent to an upstream that drains or is gone";
         const ClassSettings& c = s.classes[static_cast<std::size_t>(a.request.class_index)];
         for (const Sent& e : a.attempts) {
-            EXPECT_TRUE(!e.out || s.parallel_attempts);
+            EXPECT_FALSE(e.out) << "two attempts at once";
             if (!e.may_have_run || c.effect == Effect::safe) continue;
             EXPECT_EQ(c.effect, Effect::keyed) << "an unsafe effect twice";
             EXPECT_LT(now, e.at + c.window);
@@ -186,11 +186,9 @@
 Settings settings_of(std::uint32_t seed) {
     Settings s = plain_settings();
     const auto bit = [&](int n) { return (seed >> n & 1U) != 0; };
-    s.parallel_attempts = bit(0);
     s.may_cancel = bit(1);
     s.may_probe = bit(2);
     s.drain_close = bit(3) ? ms(50) : ms(0);
-    s.warm_keys = bit(4);
     s.must_ask_list = bit(5);
     s.ask_within = ms(500);
     s.max_attempts = bit(6) ? 4 : 1;
--- a/tests/rig.h
+++ b/tests/rig.h
@@ -117,7 +117,6 @@
     add("keyed in the cell", Effect::keyed, Group::cell);
     s.max_attempts = 4;
     s.may_cancel = true;
-    s.parallel_attempts = true;
     s.cold_share = 0.25;
     s.ramp_time = std::chrono::seconds(8);
     s.fall_multiple = 3;
--- a/tests/wire_test.cpp
+++ b/tests/wire_test.cpp
@@ -344,8 +344,8 @@
         "services.0.stream=true\nservices.0.worth=4\nservices.0.late_worth=0.25\nsiblings=8\n"
         "specifics.passes_deadline=true\nspecifics.warm_keys=true\ntenants.0.fraction=0.75\ntier=1\n"
         "weights=live\nworth_by=work\nzone=1\n");
-    EXPECT_TRUE(s.marks_retry && s.may_cancel && s.parallel_attempts && s.may_tell_peers && s.retry_after);
-    EXPECT_TRUE(s.passes_deadline && s.warm_keys && s.worth_by_work && s.classes[0].streams);
+    EXPECT_TRUE(s.marks_retry && s.may_cancel && s.may_tell_peers && s.retry_after);
+    EXPECT_TRUE(s.passes_deadline && s.worth_by_work && s.classes[0].streams);
     const Prices& p = s.prices;
     EXPECT_EQ((std::vector{p.connection, p.cross_zone, p.discovery, p.fleet, p.handshake, p.late_fail,
                            p.moves, p.origin, p.peer, p.probe, p.waste}),
@@ -369,7 +369,7 @@
 
 TEST(Facts, AbsentSettingsAreSafe) {
     const Settings s = parse_facts(facts());
-    EXPECT_FALSE(s.may_cancel || s.parallel_attempts || s.may_tell_peers || s.retry_after || s.warm_keys);
+    EXPECT_FALSE(s.may_cancel || s.may_tell_peers || s.retry_after);
     EXPECT_EQ(s.drain_close, Micros{0});
     EXPECT_EQ(s.cold_share, 1);
     EXPECT_EQ(s.weights, Weights::none);
