Spill ahead of a crowd by what the list says each zone can carry

Lines at fault: fill_pool spilled only when every candidate's own q_avg exceeded T1, and returned for want of room before it came to that. One of a hundred balancers hears some 3 outcomes a second from an upstream, a time-out counts at most T1, and q_avg fades within 4 T1: it hardly ever exceeds T1, and never everywhere. Harmless with 4 balancers.

Ruled out: sick upstreams (errors are 0% in zone 0, the slow ones are all of a zone and none of another); connections (none refused or too slow before second 10); processor time (0.43 ms median to the first attempt).

Now the balancer compares what is ready and warm in its zone with an even part of the fleet, and spills what is lacking to the zones with more, as far as the zone's delay, smoothed over all its upstreams, tells that it is crowded.

--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -71,6 +71,9 @@
 constexpr double hearings = 8;                 // answers that it should get from each before it forgets
 constexpr double coverage = 2;                 // shares that an upstream should be in at least
 constexpr double golden = 0.6180339887498949;  // turns of the ring from one rank's place to the next: even
+constexpr double zone_weight = 1.0 / 16;       // of an answer in the delay of the zone
+constexpr double zone_idle = 0.1;              // below this share of the aim the zone keeps all of its work
+constexpr double zone_crowded = 0.3;           // above it spills all that it is too small for
 constexpr std::size_t least_share = 4;         // upstreams, so that a pair has a choice when some are out
 // How long an idle connection is trusted: by age, in steps that double.
 constexpr std::size_t ages = 8;       // steps
@@ -564,6 +567,39 @@
         return 2 * ready >= met;
     }
 
+    // Delay of the own zone: what one upstream tells a balancer with few requests comes too late.
+    void learn_zone(const Upstream& u, const AttemptEnd& end, std::size_t c) {
+        const bool lost = end.outcome == Outcome::timeout || end.outcome == Outcome::full;
+        if (!in_home_zone(u) || (!lost && end.outcome != Outcome::ok)) return;
+        const double sample = lost ? 1 : std::min(1.0, us(end.latency) / us(s_.classes[c].aim));
+        zone_delay_ += zone_weight * (sample - zone_delay_);
+    }
+
+    // The zone to place a request in: the own one, as far as it can carry its part. Guards against a small
+    // zone that gets as many clients as a large one: each of its balancers hears of the crowd too late and
+    // from too few, so the list tells ahead what each zone can carry, by what is ready there and how warm. A
+    // zone below the even part spills what it lacks to those above it, each by what it has to spare.
+    int draw_zone(Time now) {
+        carries_.assign(static_cast<std::size_t>(s_.zones), 0);
+        double even = 0;
+        for (const Upstream& u : upstreams_) {
+            const auto zone = static_cast<std::size_t>(u.entry.zone);
+            if (u.entry.state != UpstreamState::ready || u.out || zone >= carries_.size()) continue;
+            carries_[zone] += warmth(u, now);
+            even += warmth(u, now) / s_.zones;
+        }
+        const double lack = even - carries_[static_cast<std::size_t>(s_.zone)];
+        const double crowd = (zone_delay_ - zone_idle) / (zone_crowded - zone_idle);
+        if (random_.unit() * even >= lack * std::clamp(crowd, 0.0, 1.0)) return s_.zone;
+        double spare = 0;
+        for (double& carries : carries_) spare += carries = std::max(0.0, carries - even);
+        double drawn = random_.unit() * spare;
+        for (std::size_t z = 0; z < carries_.size(); ++z) {
+            if ((drawn -= carries_[z]) < 0) return static_cast<int>(z);
+        }
+        return s_.zone;
+    }
+
     // Fills home_ with the upstreams among which a request of class c may be placed.
     template <typename Allowed>
     void fill_pool(const Open& r, Time now, Allowed allowed) {
@@ -574,6 +610,19 @@
         home_.clear();
         away_.clear();
         if (room_used(room() * share)) return;
+        const double patience = patience_us(r);
+        // An upstream where the aim is lost, or that is known to be full at what it holds of ours, is none to
+        // choose.
+        const auto lost = [&](std::size_t i) {
+            const Upstream& u = upstreams_[i];
+            return u.in_flight >= std::max(1.0, u.limit * share) || !in_time(u, c, patience, now);
+        };
+        if (const int zone = draw_zone(now); zone != s_.zone) {
+            gather(away_ring_, home_, c, now, false,
+                   [&](std::size_t i) { return upstreams_[i].entry.zone == zone && allowed(i); });
+            std::erase_if(home_, lost);
+            if (!home_.empty()) return;
+        }
         const auto gather_away = [&](bool lenient) {
             if (away_.empty()) gather(away_ring_, away_, c, now, lenient, allowed);
         };
@@ -598,13 +647,7 @@
                 std::erase_if(home_, slow);
             }
         }
-        // An upstream where the aim is lost, or that is known to be full at what it holds of ours, is none to
-        // choose; the zone is spilled out of when it has no other.
-        const double patience = patience_us(r);
-        const auto lost = [&](std::size_t i) {
-            const Upstream& u = upstreams_[i];
-            return u.in_flight >= std::max(1.0, u.limit * share) || !in_time(u, c, patience, now);
-        };
+        // The zone is spilled out of when it has none but lost ones.
         std::erase_if(home_, lost);
         if (home_.empty() && !spilled) {
             gather_away(false);
@@ -822,6 +865,7 @@
         learn_room(end, c, a.sent_at, now);
         learn_full(u, end.outcome == Outcome::full, now);
         learn_delay(u, end, c, now);
+        learn_zone(u, end, c);
         learn_health(u, end.outcome, c, now);
         if (end.closed) r.done = true;
         if (r.done) {
@@ -1225,9 +1269,11 @@
     std::uint32_t beat_serial_ = 0;
 
     std::vector<std::size_t> home_ring_, away_ring_;  // those listed, in the order in which shares take them
-    std::vector<std::size_t> busy_;                   // those with attempts of ours in flight
-    int out_ = 0;                                     // how many are put out
-    double arrivals_ = 0;                             // requests within what is remembered, decaying
+    double zone_delay_ =
+        1;  // smoothed delay of the own zone, as a share of the aim; at first the list decides
+    std::vector<std::size_t> busy_;  // those with attempts of ours in flight
+    int out_ = 0;                    // how many are put out
+    double arrivals_ = 0;            // requests within what is remembered, decaying
     Time arrival_at_{};
 
     int ready_ = 0;        // upstreams listed and not put out
@@ -1250,6 +1296,7 @@
     std::vector<std::size_t> free_;
     std::unordered_map<RequestId, std::size_t> by_id_;
     std::vector<std::size_t> home_, away_;  // scratch of fill_pool
+    std::vector<double> carries_;           // scratch of draw_zone
     std::optional<Time> noted_;
 };
 
--- a/tests/decide_test.cpp
+++ b/tests/decide_test.cpp
@@ -521,6 +521,56 @@
     EXPECT_GT(rig.sink.sends_to(101) + rig.sink.sends_to(102), 5u);
 }
 
+// Guards against a small zone that gets as many clients as a large one.
+TEST(Originals, ACrowdedZoneSpillsWhatItIsTooSmallForToThoseWithMore) {
+    Settings s = plain_settings();
+    s.zones = 4;
+    const auto placed = [&](Micros latency) {
+        Rig rig(s);
+        std::vector<UpstreamEntry> entries;
+        const int sizes[] = {3, 6, 9, 2};
+        for (int zone = 0; zone < 4; ++zone) {
+            for (int i = 0; i < sizes[zone]; ++i) {
+                entries.push_back(Rig::entry(static_cast<UpstreamId>(100 * zone + i + 1), zone));
+            }
+        }
+        rig.list(ListKind::full, entries);
+        for (int i = 0; i < 100; ++i) rig.served(safe, latency);  // learn how crowded the zone is
+        std::map<UpstreamId, int> by_zone;
+        for (int i = 0; i < 1000; ++i) {
+            rig.served(safe, latency);
+            ++by_zone[rig.sink.submits.back().upstream / 100];
+        }
+        return by_zone;
+    };
+    auto crowded = placed(ms(40));
+    EXPECT_NEAR(crowded[0], 600, 60);  // 3 of the 5 that its part of the clients takes
+    EXPECT_NEAR(crowded[1], 80, 40);   // the rest by what each has beyond its own part: 1 to 4
+    EXPECT_NEAR(crowded[2], 320, 60);
+    EXPECT_EQ(crowded[3], 0);
+    auto idle = placed(ms(5));
+    EXPECT_EQ(idle[0], 1000);
+}
+
+TEST(Originals, AZoneThatComesBackColdTakesItsWorkBackAsItWarms) {
+    Settings s = plain_settings();  // cold at a quarter, warm after 8 s
+    s.fall_span = Micros{0};        // no budget: only the placement counts here
+    Rig rig(s);
+    std::vector<UpstreamEntry> entries;
+    for (UpstreamId u = 1; u <= 8; ++u) entries.push_back(Rig::entry(u, u > 4, UpstreamState::ready));
+    for (int i = 0; i < 4; ++i) entries[static_cast<std::size_t>(i)].started_at = rig.now;
+    rig.list(ListKind::full, entries);
+    const auto home = [&](int requests) {  // of so many requests, all of them slow
+        const auto before = rig.sink.submits.size();
+        for (int i = 0; i < requests; ++i) rig.served(safe, ms(40));
+        return std::count_if(rig.sink.submits.begin() + static_cast<std::ptrdiff_t>(before),
+                             rig.sink.submits.end(), [](const Submit& sent) { return sent.upstream <= 4; });
+    };
+    EXPECT_LE(home(50), 30);  // from 0.25 of 0.625, over 2 s
+    rig.now += std::chrono::seconds(9);
+    EXPECT_EQ(home(50), 50);
+}
+
 TEST(Originals, SpillWhenTheZoneIsKnownToBeFull) {
     Rig rig;
     rig.fleet(1, 1);
