No longer close idle connections by their age, which a crowd's time-outs brought about

Lines at fault: renew_links and learn_age. They took time-outs on connections idle for longer for connections that something between drops unseen.

--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -16,7 +16,6 @@
 #include "flaxdoor/decide.h"
 
 #include <algorithm>
-#include <array>
 #include <cmath>
 #include <stdexcept>
 #include <unordered_map>
@@ -75,15 +74,8 @@
 constexpr double zone_idle = 0.1;              // below this share of the aim the zone keeps all of its work
 constexpr double zone_crowded = 0.3;           // above it spills all that it is too small for
 constexpr std::size_t least_share = 4;         // upstreams, so that a pair has a choice when some are out
-// How long an idle connection is trusted: by age, in steps that double.
-constexpr std::size_t ages = 8;       // steps
-constexpr double youngest = 1.0 / 8;  // of the longest T1: end of the first step
-constexpr double age_weight = 0.1;    // of an outcome in the share of its step that got no answer (0.2 tried:
-                                      //   false limits)
-constexpr double stale_share = 0.3;   // of a step that got no answer: it is stale (0.4 tried: late), unless a
-constexpr double young_share = 0.3;   //   younger one has so much of that: it is not the connections then
-constexpr double dear_share = 0.1;    // of new connections that fail: keep to open ones (0.25 tried: late)
-constexpr double stale_t1s = 32;      // a step is tried again after so many longest T1s
+constexpr double link_weight = 0.1;            // of an outcome in the share of new connections that fail
+constexpr double dear_share = 0.1;  // of new connections that fail: keep to open ones (0.25 tried: late)
 // Time constants, in longest T1s or as shares of told times.
 constexpr double decay_t1s = 4;      // without news, delay and what goes with it decay over so many
 constexpr double silence_t1s = 2;    // an upstream that answers nothing for so many is silent
@@ -190,9 +182,8 @@
 struct Attempt {
     std::size_t upstream = 0;
     Time sent_at{};
-    int ours = 1;         // attempts of ours at the upstream then, this one included
-    bool first = false;   // no connection was open there
-    std::size_t age = 0;  // step of the age of the idle connection that it was sent on
+    int ours = 1;        // attempts of ours at the upstream then, this one included
+    bool first = false;  // no connection was open there
     bool in_flight = true;
     bool may_have_run = true;  // until its outcome proves otherwise
 };
@@ -474,27 +465,6 @@
         return p >= 1 || (p > 0 && random_.unit() < p);
     }
 
-    // Guards against idle connections that something between drops unseen: what is sent on one gets no
-    // answer. Told from silent upstreams by the age of the connection: old ones fail, young and new ones are
-    // answered. Those older than the youngest step that fails are closed before a send. Ought to guard as
-    // well against upstreams that close idle connections early (resets); could harm, by handshakes, where
-    // traffic that comes seldom fails for a reason of its own.
-    std::size_t renew_links(Upstream& u, Time now) {
-        if (!u.linked || u.idle_since == Time{}) return 0;
-        const double steps = std::log2(us(now - u.idle_since) / (youngest * longest_t1_us_)) + 1;
-        const auto age = static_cast<std::size_t>(std::clamp(steps, 0.0, ages - 1.0));
-        double younger = unanswered(0, now);
-        for (std::size_t a = 1; a <= age; ++a) {
-            const double share = unanswered(a, now);
-            if (share >= stale_share && younger <= young_share * share) {
-                actions_.close_idle(u.entry.id);
-                return 0;
-            }
-            if (share < stale_share) younger = std::max(younger, share);
-        }
-        return age;
-    }
-
     // Guards against connections that suddenly can't be made, or only slowly and at a cost to the upstream:
     // while many attempts to open one fail, work stays where one is open. Ought to guard as well against full
     // tables of connections; could harm, by crowding the few, so the memory fades and others are tried again.
@@ -505,15 +475,6 @@
                (u.in_flight > 0 || s_.idle_close <= Micros{0} || now < u.idle_since + s_.idle_close);
     }
 
-    double unanswered(std::size_t age, Time now) const { return unanswered_[age].now(now, stale_us()); }
-    double stale_us() const { return stale_t1s * longest_t1_us_; }
-
-    void learn_age(std::size_t age, const AttemptEnd& end, Time now) {
-        const bool lost = end.outcome == Outcome::timeout || end.outcome == Outcome::reset;
-        if (!lost && end.outcome != Outcome::ok && end.outcome != Outcome::error) return;
-        unanswered_[age].learn(lost, age_weight, now, stale_us());
-    }
-
     // ----------------------------------------------------------------------- 3. choosing an upstream
 
     // Rules 3 and 4: may this upstream get new work? Every send passes here.
@@ -780,9 +741,8 @@
             busy_.push_back(to);
         }
         const bool first = !u.linked;
-        const std::size_t age = renew_links(u, now);
         u.linked = true;
-        r.attempts.push_back({to, now, u.in_flight, first, age, true, true});
+        r.attempts.push_back({to, now, u.in_flight, first, true, true});
         ++r.in_flight;
         count_held(now);
         spend_cold_budget(u);
@@ -852,9 +812,8 @@
         if (--u.in_flight == 0) std::erase(busy_, a.upstream);
         u.idle_since = now;
         u.refused = end.outcome == Outcome::connect_failed;
-        if (a.first) refused_links_.learn(u.refused, age_weight, now, decay_us());
+        if (a.first) refused_links_.learn(u.refused, link_weight, now, decay_us());
         close_idle(u);
-        learn_age(a.age, end, now);
         count_held(now);
         const std::size_t c = class_of(r);
         if (end.outcome == Outcome::ok) {
@@ -1287,9 +1246,8 @@
         double per_s = 0;
         Time at{};
     };
-    std::vector<WarmRate> warm_rates_;    // by kind and side
-    Share refused_links_;                 // of attempts to open a connection, those that failed
-    std::array<Share, ages> unanswered_;  // what got no answer, by the age of its connection
+    std::vector<WarmRate> warm_rates_;  // by kind and side
+    Share refused_links_;               // of attempts to open a connection, those that failed
     std::vector<ClassState> classes_;
     std::vector<Bucket> shares_;  // requests that a tenant has left within its share
     std::vector<Open> open_;
