Learn T1 from what its timer cut off too

Lines at fault: on_attempt_end told learn_latency of answers alone.

A time-out now counts at twice its timer, as the gap doubles. Base latency and worth stay with answers alone.

--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -200,10 +200,12 @@
 };
 
 struct ClassState {
-    double left_us = 0;  // the longest time left that requests come with
-    double lost = 0;     // smoothed share of its attempts that got an error or no answer
-    double latency_us = 0;
+    double left_us = 0;   // the longest time left that requests come with
+    double lost = 0;      // smoothed share of its attempts that got an error or no answer
+    double usual_us = 0;  // smoothed latency of answers and time-outs, its mean deviation, how many
     double deviation_us = 0;
+    double ends = 0;
+    double latency_us = 0;  // of answers alone, and how many
     double answers = 0;
     double t1_us = 0;
     double base_us = 0;  // latency without a crowd: the least that the usual one has been, creeping upwards
@@ -311,25 +313,33 @@
     void update_t1(std::size_t c) {
         const double aim = us(s_.classes[c].aim);
         ClassState& state = classes_[c];
-        const double usual = state.latency_us + t1_deviations * state.deviation_us;
-        state.t1_us = state.answers == 0 ? t1_most * aim : std::clamp(usual, t1_least * aim, t1_most * aim);
+        const double usual = state.usual_us + t1_deviations * state.deviation_us;
+        state.t1_us = state.ends == 0 ? t1_most * aim : std::clamp(usual, t1_least * aim, t1_most * aim);
         longest_t1_us_ = 0;
         for (const auto& each : classes_) longest_t1_us_ = std::max(longest_t1_us_, each.t1_us);
     }
 
+    // What the timer cut off counts for T1 too, or T1 is learned only from what came before it and falls with
+    // each time-out. Its latency is not known but above the timer: it counts twice that, as the gap doubles.
+    void learn_usual(std::size_t c, double latency_us) {
+        ClassState& state = classes_[c];
+        state.ends += 1;
+        const double weight = std::max(latency_weight, 1 / state.ends);
+        state.deviation_us += weight * (std::fabs(latency_us - state.usual_us) - state.deviation_us);
+        if (state.ends == 1) state.deviation_us = latency_us / 2;
+        state.usual_us += weight * (latency_us - state.usual_us);
+        update_t1(c);
+    }
+
     void learn_latency(std::size_t c, double latency_us) {
         ClassState& state = classes_[c];
         state.answers += 1;
-        const double weight = std::max(latency_weight, 1 / state.answers);
-        state.deviation_us += weight * (std::fabs(latency_us - state.latency_us) - state.deviation_us);
-        if (state.answers == 1) state.deviation_us = latency_us / 2;
-        state.latency_us += weight * (latency_us - state.latency_us);
+        state.latency_us += std::max(latency_weight, 1 / state.answers) * (latency_us - state.latency_us);
         if (!knows_base(state)) {
             state.base_us = state.latency_us;
         } else {
             state.base_us = std::min(state.base_us * (1 + base_creep), state.latency_us);
         }
-        update_t1(c);
     }
 
     static bool knows_base(const ClassState& state) { return state.answers >= 1 / latency_weight; }
@@ -816,7 +826,9 @@
         close_idle(u);
         count_held(now);
         const std::size_t c = class_of(r);
+        if (end.outcome == Outcome::timeout) learn_usual(c, 2 * us(end.latency));
         if (end.outcome == Outcome::ok) {
+            learn_usual(c, us(end.latency));
             learn_latency(c, us(end.latency));
             learn_capacity(u, us(end.latency), a.ours, c);
         }
--- a/tests/decide_test.cpp
+++ b/tests/decide_test.cpp
@@ -1041,6 +1041,24 @@
     EXPECT_EQ(rig.sink.submits.back().timeout, ms(1000));  // its late answers count
 }
 
+// Guards against a timer learned only from what came before it: each time-out would bring the next sooner.
+TEST(AttemptLife, TheTimerGrowsWhereItCutsAnswersOff) {
+    Rig rig;
+    rig.fleet(4);
+    for (int i = 0; i < 200; ++i) {
+        const auto id = rig.request(safe);
+        ASSERT_EQ(rig.sink.sends(id), 1u);
+        const Micros timer = rig.sink.submits.back().timeout;
+        const bool cut = i % 5 == 0;  // would take longer than any timer
+        rig.now += cut ? timer : ms(10);
+        rig.end(id, 0, cut ? Outcome::timeout : Outcome::ok, cut ? timer : ms(10));
+        if (cut) rig.policy->on_client_gone(rig.now, id);
+        if (i >= 100) {
+            EXPECT_GT(timer, ms(50)) << i;
+        }
+    }
+}
+
 // Guards against a stall of the balancer itself: what waited meanwhile ends with the aim that it came with.
 TEST(AttemptLife, WhatWaitedInAStallOfOurOwnEndsWithItsTrueAim) {
     Settings s = plain_settings();
