Know a class's base latency after 8 answers, not 64

So answers of twice the true base count as no crowd, and the room is cut first by full refusals and time-outs, when upstreams are jammed already.

Lines at fault: knows_base asked for 1 / latency_weight = 64 answers of the class. One of 4 balancers has them within a second, one of 100 after 6 s, and of the rarer class after 15.

Ruled out: crowding_weight and the cut itself (rooms fall to their least within 3 s once answers count as crowded).

--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -54,7 +54,8 @@
 constexpr double room_growth = 0.25;  // step up, shared as below (0.12, 0.5, 1 tried)
 constexpr double fair_share =
     2;  // least room and the one at the start, attempts an upstream shared among balancers (1, 3 tried)
-constexpr double crowd = 3;  // an answer that took so many base latencies comes from a crowd (2 tried)
+constexpr double crowd = 3;         // an answer that took so many base latencies comes from a crowd (2 tried)
+constexpr double base_answers = 8;  // of a class, after which its base latency is known
 constexpr double base_guess = 1.0 / 3;  // of the aim: base latency of a class before it is known
 constexpr double base_creep =
     3e-4;  // rise of the base latency by an answer (1e-4, 1e-3 tried: 1e-3 learns jams)
@@ -335,14 +336,14 @@
         ClassState& state = classes_[c];
         state.answers += 1;
         state.latency_us += std::max(latency_weight, 1 / state.answers) * (latency_us - state.latency_us);
-        if (!knows_base(state)) {
-            state.base_us = state.latency_us;
-        } else {
-            state.base_us = std::min(state.base_us * (1 + base_creep), state.latency_us);
-        }
+        // A start into a jam must not teach it as the base: the first guess is the most that it begins with.
+        const double most =
+            knows_base(state) ? state.base_us * (1 + base_creep) : base_guess * us(s_.classes[c].aim);
+        state.base_us = std::min(most, state.latency_us);
     }
 
-    static bool knows_base(const ClassState& state) { return state.answers >= 1 / latency_weight; }
+    // One of many balancers gets few answers: were they many before it counts, a jam would be there first.
+    static bool knows_base(const ClassState& state) { return state.answers >= base_answers; }
 
     // Until it is known, the aim tells: a class can't be meant to be served in much more than this.
     double base_us(std::size_t c) const {
--- a/tests/decide_test.cpp
+++ b/tests/decide_test.cpp
@@ -1085,6 +1085,17 @@
     EXPECT_EQ(stalled(ms(0), ms(800)), ms(100));  // a client's short try, no stall
 }
 
+// Guards against a balancer of many that hears of a crowd only when it is a jam: with an answer or two a
+// second it takes its guess of the base latency, a third of the aim, for far too long.
+TEST(Refusal, ACrowdIsSeenAfterAFewAnswers) {
+    Rig rig;
+    rig.fleet(4);
+    for (int i = 0; i < 12; ++i) rig.served(safe, ms(8));
+    std::size_t sent = 0;
+    for (int i = 0; i < 30; ++i) sent = rig.served_wave(safe, 16, ms(24));  // crowded, but within the guess
+    EXPECT_LT(sent, 12u);
+}
+
 // Guards against a start into a crowd, which would teach its latencies as the usual ones.
 TEST(Refusal, AtTheStartAllBalancersTogetherHoldFew) {
     Settings s = plain_settings();
