Spread the list calls of a fleet over the time that discovery needs for them

Lines at fault: the constructor spread first calls over a tenth of ask_within however many ask, and on_list(failed) repeated after 0.5 to 1 s. The service works off some 17 calls a second, also those that have given up: they answered 51 of the first 100, and the repeats came behind the dead ones and failed all but two.

Ruled out: a break of discovery (calls fail as 'turned away', after 2 s of waiting, and never outside these bursts).

--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -83,7 +83,9 @@
 constexpr double early_share = 0.5;  // of the aim: an original may wait a gap that ends before it
 constexpr double beat_t1s = 0.25;    // gap between beats, by which a stall of our own is seen
 constexpr double left_creep = 1e-3;  // fall, by a request, of the longest time that clients leave us
-constexpr double ask_share = 0.1;    // of ask_within: first gap after a failed call, and spread at start
+constexpr double ask_part = 0.005;  // of ask_within, for each balancer: calls of all are spread over so much,
+constexpr double ask_most = 0.5;    //   at most
+constexpr double ask_share = 0.1;   // of ask_within:   and at least, and the first gap after a failed call
 constexpr Micros share_span =
     std::chrono::seconds(4);  // of its share that a tenant may save up (1 to 15 tried)
 constexpr Micros log_gap = std::chrono::seconds(1);
@@ -236,8 +238,7 @@
         rate_window_us_ = std::max(us(s_.ramp_time) / 2, 1e6);
         if (s_.must_ask_list) {
             // Instances that start together ask one after another.
-            const double spread = ask_share * us(s_.ask_within) * s_.rank / s_.balancers;
-            set_ask_timer(now + micros(spread));
+            set_ask_timer(now + micros(ask_span_us() * s_.rank / s_.balancers));
         }
     }
 
@@ -250,7 +251,7 @@
             subscribed_ = false;
             ask_gap_us_ =
                 std::min(std::max(ask_gap_us_ * 2, ask_share * us(s_.ask_within)), us(s_.ask_within));
-            set_ask_timer(now + micros(ask_gap_us_ * (0.5 + 0.5 * random_.unit())));
+            set_ask_timer(now + micros(ask_gap_us_ + ask_span_us() * random_.unit()));
             return;
         }
         if (kind != ListKind::cached) {
@@ -299,6 +300,13 @@
         }
     }
 
+    // Time over which the calls of all balancers are spread where one event has all of them ask. Guards
+    // against calls that fill discovery's queue: those that wait too long fail, are worked off all the same,
+    // and have the next ones fail behind them.
+    double ask_span_us() const {
+        return std::clamp(ask_part * s_.balancers, ask_share, ask_most) * us(s_.ask_within);
+    }
+
     void ask(Time now) {
         if (subscribed_) return;
         asked_ = true;
--- a/tests/decide_test.cpp
+++ b/tests/decide_test.cpp
@@ -309,6 +309,38 @@
     EXPECT_EQ(rig.sink.watches, before);
 }
 
+// Guards against calls of a whole fleet in one second: more than discovery works off before they have waited
+// too long. They start together, and later one event ends all watches.
+TEST(TheList, TheCallsOfManyBalancersAreSpreadInTime) {
+    Settings s = plain_settings();
+    s.must_ask_list = true;
+    s.ask_within = std::chrono::seconds(10);
+    s.balancers = 100;
+    std::vector<Time> starts, repeats;
+    for (s.rank = 0; s.rank < s.balancers; ++s.rank) {
+        Rig rig(s, static_cast<std::uint64_t>(s.rank) + 1);
+        const Time begun = rig.now;
+        const auto asked_after = [&](Time event, int calls) {
+            while (rig.sink.watches < calls && rig.now < event + s.ask_within) rig.run(rig.now + ms(1));
+            return rig.now - event;
+        };
+        rig.list(ListKind::cached, {Rig::entry(1)});
+        starts.push_back(asked_after(begun, 1));
+        rig.list(ListKind::full, {Rig::entry(1)});
+        const Time ended = begun + std::chrono::seconds(20);
+        rig.run(ended);
+        rig.list(ListKind::failed, {});
+        repeats.push_back(asked_after(ended, 2));
+    }
+    for (auto* calls : {&starts, &repeats}) {
+        std::sort(calls->begin(), calls->end());
+        EXPECT_LE(calls->back(), std::chrono::seconds(7));
+        for (std::size_t i = 30; i < calls->size(); ++i) {
+            EXPECT_GE((*calls)[i] - (*calls)[i - 30], ms(1000)) << i;
+        }
+    }
+}
+
 TEST(TheList, PushedListsAreNeverAskedFor) {
     Rig rig;
     rig.fleet(2);
