Keep work in the zone while the list is still the cached one

Lines at fault: fill_pool counted as spilled while !fresh_. It was to guard against upstreams that restarted cold unseen, by spreading them. Four balancers have their list within a second; a hundred, restarted at once, take 5 s, all the while on top of what the zones spill by design.

Ruled out: the spill by what the list says a zone can carry (27 and 40% of two zones, none of the others).

--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -257,7 +257,6 @@
         if (kind != ListKind::cached) {
             subscribed_ = asked_;
             ask_gap_us_ = 0;
-            fresh_ = true;
         }
         if (kind != ListKind::delta) {
             for (auto& u : upstreams_) u.entry.state = UpstreamState::gone;  // unless the list names it
@@ -606,13 +605,12 @@
         const auto gather_away = [&](bool lenient) {
             if (away_.empty()) gather(away_ring_, away_, c, now, lenient, allowed);
         };
-        // Under half of the zone is ready: the rest can't carry it. The same while the list is only a cached
-        // one: servers of the zone may have restarted cold meanwhile, and this balancer can't tell. When the
-        // whole fleet looks unfit, the trouble is not theirs alone: slow ones count as ready.
+        // Under half of the zone is ready: the rest can't carry it. When the whole fleet looks unfit, the
+        // trouble is not theirs alone: slow ones count as ready.
         bool spilled = false;
         for (const bool lenient : {false, true}) {
             const bool half = gather(home_ring_, home_, c, now, lenient, allowed);
-            spilled = !half || home_.empty() || !fresh_;
+            spilled = !half || home_.empty();
             if (spilled) gather_away(lenient);
             home_.insert(home_.end(), away_.begin(), away_.end());
             away_.clear();
@@ -1240,7 +1238,6 @@
 
     std::vector<Upstream> upstreams_;  // in the order in which the list named them
     std::unordered_map<UpstreamId, std::size_t> index_;
-    bool fresh_ = false;  // a list newer than the cached one has come
     bool asked_ = false;
     bool subscribed_ = false;
     double ask_gap_us_ = 0;
