--- a/tests/decide_test.cpp
+++ b/tests/decide_test.cpp
@@ -766,13 +766,16 @@
 
 TEST(Health, TrialsReachOtherZonesToo) {
     Rig rig;
-    rig.list(ListKind::cached, {Rig::entry(1), Rig::entry(101, 1)});
-    for (int i = 0; i < 60; ++i) {
+    rig.list(ListKind::full, {Rig::entry(1, 0, UpstreamState::draining), Rig::entry(101, 1)});
+    for (int i = 0; i < 2; ++i) {  // nowhere else to go: put out
         const auto id = rig.request(safe);
-        rig.end(id, 0, rig.sink.submits.back().upstream == 101 ? Outcome::connect_failed : Outcome::ok,
-                ms(1));
+        ASSERT_EQ(rig.sink.submits.back().upstream, 101u);
+        rig.end(id, 0, Outcome::connect_failed, ms(1));
+        rig.policy->on_client_gone(rig.now, id);
     }
     rig.fleet(1, 1);
+    rig.request(safe);
+    EXPECT_EQ(rig.sink.submits.back().upstream, 1u);
     rig.now += std::chrono::seconds(5);
     const auto before = rig.sink.sends_to(101);
     rig.request(safe);
