Let a jam cut the room of the fleet to half an attempt an upstream

Lines at fault: learn_room cut the room no further than fair_share, two attempts an upstream over all balancers. What has timed out here still runs there, on top of the two.

Ruled out: T1 (at its cap of 0.8 of the aim), failed connections (none outside the lost zone), the cached list.

The room may now fall to half an attempt an upstream; it starts at two as before.

--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -52,8 +52,10 @@
                                       //   stay; 15: quiet days refused; 4 for time-outs: cut late)
 constexpr double room_cut = 0.7;      // what a cut leaves (0.5, 0.8 tried)
 constexpr double room_growth = 0.25;  // step up, shared as below (0.12, 0.5, 1 tried)
-constexpr double fair_share =
-    2;  // least room and the one at the start, attempts an upstream shared among balancers (1, 3 tried)
+// Attempts an upstream, shared among balancers: the room at the start (1, 3 tried), and the least that a jam
+// leaves: under one (0.25 tried), as upstreams slowed by a crowd recover only while mostly idle.
+constexpr double least_room = 0.5;
+constexpr double fair_share = 2;
 constexpr double crowd = 3;         // an answer that took so many base latencies comes from a crowd (2 tried)
 constexpr double base_answers = 8;  // of a class, after which its base latency is known
 constexpr double base_guess = 1.0 / 3;  // of the aim: base latency of a class before it is known
@@ -397,7 +399,7 @@
         crowding_ += crowding_weight * (sample - crowding_);
         if (crowding_ > most_crowding) {
             const double held = std::max(held_, static_cast<double>(in_flight_));
-            room_ = std::max(part_of_fleet(fair_share), std::min(room_, held) * room_cut);
+            room_ = std::max(part_of_fleet(least_room), std::min(room_, held) * room_cut);
             cut_at_ = now;
             crowding_ = 1;
         } else if (sample <= most_crowding && in_flight_ + 1 > room_ * least_patience) {
