Log a failure of discovery once until it answers again

Each failed call wrote a line, for as long as discovery was down. Lines at fault: Discovery::hear and ended. A list or the first line of a watch ends the silence with a line of its own. No decision depends on it; the test fails without the change.

--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -238,22 +238,30 @@
         try {
             list = parse_list(text, names_);
         } catch (const std::exception& error) {
-            log(std::string("discovery: ") + error.what());
+            log_failure(error.what());
             return false;
         }
         if (!watching && list.version < version_) return true;  // the watch has overtaken this answer
         version_ = list.version;
     }
+    if (failing_) log("discovery: answers again");
+    failing_ = false;
     events_.on_list(std::move(list));
     return true;
 }
 
+// Once until it answers again: repeated calls that fail alike would fill the log.
+void Discovery::log_failure(const std::string& what) {
+    if (!failing_) log("discovery: " + what);
+    failing_ = true;
+}
+
 void Discovery::ended(Call& call, const char* why) {
     const bool watching = watch_.get() == &call;
     const std::shared_ptr<Call> ended = std::move(watching ? watch_ : fetch_);
     (watching ? watch_ : fetch_).reset();
     if (!watching && std::string_view(why) == "ended") return;  // a call for the list that was answered
-    log(std::string(watching ? "discovery: watch failed: " : "discovery: call failed: ") + why);
+    log_failure(std::string(watching ? "watch failed: " : "call failed: ") + why);
     events_.on_list_failed();
 }
 
--- a/src/net/discovery.h
+++ b/src/net/discovery.h
@@ -63,13 +63,15 @@
     class Call;
     bool hear(std::string_view text, bool watching, bool first);
     void ended(Call& call, const char* why);
+    void log_failure(const std::string& what);
 
     boost::asio::io_context& loop_;
     boost::asio::ip::tcp::endpoint address_;
     const ListNames names_;
     DiscoveryEvents& events_;
     std::uint64_t version_ = 0;
-    bool wanted_ = false;  // a watch has been asked for, and may have failed since
+    bool failing_ = false;  // no list since the last failure, which has been logged
+    bool wanted_ = false;   // a watch has been asked for, and may have failed since
     std::shared_ptr<Call> watch_;
     std::shared_ptr<Call> fetch_;
 };
--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -469,6 +469,29 @@
 const char* const watch_head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
 
 // Whatever way a watch ends, the next one resumes after the last version heard.
+// Guards against a log filled by a discovery that is down for long.
+TEST(Discovery, AFailureIsLoggedOnceUntilItAnswersAgain) {
+    Stage s;
+    testing::internal::CaptureStderr();
+    s.start();
+    auto& calls = s.discovery.wires;
+    for (std::size_t n = 1; n <= 4; ++n) {
+        s.until([&] { return calls.size() >= n && has(calls[n - 1]->in, "\r\n\r\n"); });
+        if (n < 4) calls[n - 1]->say("HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n");
+    }
+    calls[3]->say(watch_head + chunk(s.list(9, false).dump() + "\n"));
+    calls[3]->close();
+    s.until([&] { return calls.size() >= 5; });
+    const std::string log = testing::internal::GetCapturedStderr();
+    const auto count = [&](const std::string& what) {
+        std::size_t found = 0;
+        for (auto at = log.find(what); at != std::string::npos; at = log.find(what, at + 1)) ++found;
+        return found;
+    };
+    EXPECT_EQ(count("watch failed"), 2u) << log;  // before it answered and after
+    EXPECT_EQ(count("answers again"), 1u) << log;
+}
+
 TEST(Discovery, ResumesAWatchThatFailed) {
     for (const std::string end : {"cut", "503", "nonsense", "bad line", "unknown zone"}) {
         Stage s;
