--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -6,11 +6,11 @@
 //   on_attempt_end  -> a failure waits out its gap (T1, doubling), then send_retry: a fresh pair without the
 //                      failed upstream, better first, then the others of the zone; each passes with chance p
 //   p               -> falls from 1 to 0 as the upstream's smoothed delay rises from 0.2 T1 to T1
-// Two exceptions shape what one of many balancers does: it places its work in a share of the zone
-// (share_size), and all of its attempts together have a room, which may be less than one (learn_room,
-// room_used). Sections, in order: 1 registry, 2 delay estimate and gate, 3 choosing an upstream, 4 attempt
-// life and retries, 5 health, 6 cold budget, 7 refusal. The rules that may never be broken stand in one
-// function each:
+// Three exceptions shape what one of many balancers does: it spills what a crowded zone is too small for by
+// the list (draw_zone), it places its work in a share of the zone (share_size), and all of its attempts
+// together have a room, which may be less than one (learn_room, room_used). Sections, in order: 1 registry, 2
+// delay estimate and gate, 3 choosing an upstream, 4 attempt life and retries, 5 health, 6 cold budget, 7
+// refusal. The rules that may never be broken stand in one function each:
 //   may_send (rules 1 and 2), may_get_new_work (rules 3 and 4), may_refuse (rule 2), close_idle (rule 5).
 // Every send passes `submit`.
 #include "flaxdoor/decide.h"
