Weigh an answer in the crowding by the time that it speaks for

Lines at fault: learn_room in src/decide.cpp gave each answer 1/32, whatever time lay between answers. Tuned on 4 balancers of 85 answers a second, that is 0.4 s; for one of 60 or 300, with some 10 a second, it is 3 s.

A larger constant, 1/8, helps as well but is keyed to one size of fleet; a bound that keeps one time-out from cutting alone loses part of the gain.

Two tests left second attempts out for ever, which no host does; those count in the room, which is now cut in time to refuse what follows. They end them now; what they expect is unchanged.

--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -46,7 +46,7 @@
 // Cut from so many base latencies (1.6 and 1.8 tried: jams clear better, busy days are refused; 2.3: jams
 // stay).
 constexpr double most_crowding = 2;
-constexpr double crowding_weight = 1.0 / 32;  // weight of an answer in that (1/16: false cuts; 1/64: late)
+constexpr double crowding_weight = 1.0 / 32;  // least of an answer in that (1/16: false cuts; 1/64: late)
 constexpr double crowding_cap = 4;            // the most that one counts for (3, 6 tried)
 constexpr double full_crowding = 6;   // what a full refusal or a time-out counts for (3, 4 tried: jams
                                       //   stay; 15: quiet days refused; 4 for time-outs: cut late)
@@ -236,6 +236,7 @@
         for (std::size_t f = 0; f < s_.report_fields.size(); ++f) {
             if (s_.report_fields[f] == ReportField::in_flight) in_flight_field_ = f;
         }
+        crowding_at_ = now;
         beat(now);
         rate_window_us_ = std::max(us(s_.ramp_time) / 2, 1e6);
         if (s_.must_ask_list) {
@@ -396,7 +397,11 @@
         } else if (end.outcome != Outcome::full && end.outcome != Outcome::timeout) {
             return;
         }
-        crowding_ += crowding_weight * (sample - crowding_);
+        // One of many balancers gets few answers: each weighs as much as the time that it speaks for.
+        const double gap = us(now - crowding_at_);
+        const double weight = std::max(crowding_weight, 1 - std::exp(-gap / longest_t1_us_));
+        crowding_ += weight * (sample - crowding_);
+        crowding_at_ = now;
         if (crowding_ > most_crowding) {
             const double held = std::max(held_, static_cast<double>(in_flight_));
             room_ = std::max(part_of_fleet(least_room), std::min(room_, held) * room_cut);
@@ -1258,6 +1263,7 @@
     int ready_ = 0;        // upstreams listed and not put out
     int in_flight_ = 0;    // attempts of ours at fit upstreams at the last choice
     double crowding_ = 1;  // smoothed latency as a multiple of the base latency, since the last cut
+    Time crowding_at_{};   // when it was last learned
     Time cut_at_{};        // when the room was last cut
     double room_ = 0;      // what in_flight_ may be; 0: not yet known
     double held_ = 0;      // in_flight_, smoothed
--- a/tests/decide_test.cpp
+++ b/tests/decide_test.cpp
@@ -485,6 +485,7 @@
             const auto id = rig.request();
             rig.now += ms(10);
             rig.end(id, 0, rig.sink.submits.back().upstream == 1 ? outcome : Outcome::ok, ms(10));
+            if (rig.sink.sends(id) == 2) rig.end(id, 1, Outcome::ok, ms(10));
         }
     };
     if (first) {
@@ -1086,6 +1087,7 @@
         rig.now += cut ? timer : ms(10);
         rig.end(id, 0, cut ? Outcome::timeout : Outcome::ok, cut ? timer : ms(10));
         if (cut) rig.policy->on_client_gone(rig.now, id);
+        if (rig.sink.sends(id) == 2) rig.end(id, 1, Outcome::cancelled, ms(0));
         if (i >= 100) {
             EXPECT_GT(timer, ms(50)) << i;
         }
@@ -1161,6 +1163,26 @@
     EXPECT_GE(rig.served_wave(unsafe, 60, ms(4)), 20u);  // and it comes back
 }
 
+// Guards against balancers of a large fleet that see a jam as many times later as they get fewer answers.
+TEST(Refusal, OneWithFewAnswersSeesAJamWithinASecond) {
+    Settings s = plain_settings();
+    s.balancers = 40;
+    Rig rig(s);
+    rig.fleet(20);
+    const auto sent_in_a_second = [&](Micros latency) {
+        std::size_t sent = 0;
+        for (int i = 0; i < 10; ++i) {
+            sent += rig.served_wave(unsafe, 1, latency);
+            rig.now += ms(100) - latency;
+        }
+        return sent;
+    };
+    for (int i = 0; i < 4; ++i) EXPECT_EQ(sent_in_a_second(ms(10)), 10u);
+    EXPECT_LT(sent_in_a_second(ms(90)), 9u);
+    for (int i = 0; i < 4; ++i) sent_in_a_second(ms(10));
+    EXPECT_EQ(sent_in_a_second(ms(10)), 10u);  // and it comes back
+}
+
 // Guards against jams of balancers that each hold just one: the room may be less than one attempt.
 TEST(Refusal, InAJamABalancerWithLessThanOneAttemptToHoldPausesBetweenThem) {
     Settings s = plain_settings();
