Let the smoothed delay choose between two upstreams that hold as many of ours

Line at fault: draw_pair in src/decide.cpp compared only what is in flight of ours. Delays below the gate's q_min count as equal, as every retry passes there: compared as they are, a barely slower upstream starved (Health.AClassLostByChanceIsTriedAgainSoon showed it).

--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -19,6 +19,7 @@
 #include <cmath>
 #include <stdexcept>
 #include <unordered_map>
+#include <utility>
 
 namespace flaxdoor {
 
@@ -641,12 +642,17 @@
         }
     }
 
-    // Moves a fresh random pair to the front of the pool, the one with fewer of ours in flight first.
-    void draw_pair() {
+    // Moves a fresh random pair to the front of the pool, the one with fewer of ours in flight first. One of
+    // many balancers seldom holds any at either: then the smoothed delay tells, where it is enough for a
+    // gate.
+    void draw_pair(Time now) {
         if (home_.size() < 2) return;
         std::swap(home_[0], home_[random_.below(home_.size())]);
         std::swap(home_[1], home_[1 + random_.below(home_.size() - 1)]);
-        if (upstreams_[home_[1]].in_flight < upstreams_[home_[0]].in_flight) std::swap(home_[0], home_[1]);
+        const auto load = [&](const Upstream& u) {
+            return std::pair(u.in_flight, std::max(gate_low * longest_t1_us_, delay(u, now)));
+        };
+        if (load(upstreams_[home_[1]]) < load(upstreams_[home_[0]])) std::swap(home_[0], home_[1]);
     }
 
     // ------------------------------------------------------------------- 4. attempt life and retries
@@ -713,7 +719,7 @@
         const std::size_t c = class_of(open_[slot]);
         if (const std::size_t trial = find_trial(c, now); trial != none) return submit(slot, trial, now);
         fill_pool(open_[slot], now, [](std::size_t) { return true; });
-        draw_pair();
+        draw_pair(now);
         return !home_.empty() && submit(slot, home_[0], now);
     }
 
@@ -722,7 +728,7 @@
         const Open& r = open_[slot];
         const std::size_t failed = r.attempts.empty() ? none : r.attempts.back().upstream;
         fill_pool(r, now, [&](std::size_t i) { return i != failed && may_send(r, i, now); });
-        draw_pair();
+        draw_pair(now);
         for (const std::size_t i : home_) {
             if (passes_gate(upstreams_[i], r, now)) return submit(slot, i, now);
         }
--- a/tests/decide_test.cpp
+++ b/tests/decide_test.cpp
@@ -535,6 +535,20 @@
     EXPECT_EQ(rig.sink.sends_to(2), 2u);
 }
 
+// Guards against a balancer with few requests, which has none in flight at either and so would not choose.
+TEST(Originals, OfTwoWithAsManyInFlightTheOneWithLessDelayWins) {
+    Rig rig;
+    rig.fleet(2);
+    for (int i = 0; i < 120; ++i) {
+        const auto id = rig.request(unsafe);
+        const Micros latency = rig.sink.submits.back().upstream == 1 ? ms(30) : ms(10);
+        rig.now += latency;
+        rig.end(id, 0, Outcome::ok, latency);
+    }
+    EXPECT_GT(rig.sink.sends_to(2), 80u);
+    EXPECT_GT(rig.sink.sends_to(1), 3u);  // its delay fades, so that it is heard of again
+}
+
 TEST(Originals, SpillWhenUnderHalfOfTheZoneIsReady) {
     Rig rig;
     rig.fleet(4, 2);
