Size a balancer's share of the ring by the answers that it hears

Line at fault: on_request in src/decide.cpp counted arrivals into what share_size takes for hearings. Each upstream then has as many more senders, and each of them learns of it as much later.

--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -517,7 +517,7 @@
     // so that each upstream is in as many as the next. With few balancers the share is the zone.
     std::size_t share_size(std::size_t ring) const {
         const double covering = coverage * ring * s_.zones / s_.balancers;
-        return std::max(least_share, static_cast<std::size_t>(std::max(arrivals_ / hearings, covering)));
+        return std::max(least_share, static_cast<std::size_t>(std::max(answers_ / hearings, covering)));
     }
 
     // Keeps the rings to what is listed.
@@ -663,8 +663,6 @@
             return;
         }
         if (by_id_.count(request.id) != 0) return;
-        arrivals_ = faded(arrivals_, arrival_at_, now, decay_us()) + 1;
-        arrival_at_ = now;
         std::size_t slot = open_.size();
         if (free_.empty()) {
             open_.emplace_back();
@@ -848,6 +846,8 @@
         const std::size_t c = class_of(r);
         if (end.outcome == Outcome::timeout) learn_usual(c, 2 * us(end.latency));
         if (end.outcome == Outcome::ok) {
+            answers_ = faded(answers_, answer_at_, now, decay_us()) + 1;
+            answer_at_ = now;
             learn_usual(c, us(end.latency));
             learn_latency(c, us(end.latency));
             learn_capacity(u, us(end.latency), a.ours, c);
@@ -1263,8 +1263,8 @@
         1;  // smoothed delay of the own zone, as a share of the aim; at first the list decides
     std::vector<std::size_t> busy_;  // those with attempts of ours in flight
     int out_ = 0;                    // how many are put out
-    double arrivals_ = 0;            // requests within what is remembered, decaying
-    Time arrival_at_{};
+    double answers_ = 0;             // answers within what is remembered, decaying
+    Time answer_at_{};
 
     int ready_ = 0;        // upstreams listed and not put out
     int in_flight_ = 0;    // attempts of ours at fit upstreams at the last choice
--- a/tests/decide_test.cpp
+++ b/tests/decide_test.cpp
@@ -652,6 +652,19 @@
     EXPECT_LE(*most, 8);
 }
 
+// Guards against a jam in which clients come again: a balancer that spreads what it hears of over more
+// upstreams knows each of them less.
+TEST(Originals, RequestsThatAreNotAnsweredDoNotWidenTheShare) {
+    Settings s = plain_settings();
+    s.balancers = 40;
+    Rig rig(s);
+    rig.fleet(40);
+    for (int i = 0; i < 40; ++i) rig.served_wave(unsafe, 30, ms(80));  // it holds few of these at a time
+    std::set<UpstreamId> used;
+    for (const auto& sent : rig.sink.submits) used.insert(sent.upstream);
+    EXPECT_LE(used.size(), 8u);
+}
+
 TEST(Originals, ABusyBalancerUsesTheWholeZone) {
     Rig rig;
     rig.fleet(12);
