Let no single answer cut the room of all attempts

Line at fault: the weight of an answer by its time in learn_room.

Ruled out: want of candidates (0) and jammed upstreams (median 30 to 36 ms throughout).

--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -398,9 +398,11 @@
         } else if (end.outcome != Outcome::full && end.outcome != Outcome::timeout) {
             return;
         }
-        // One of many balancers gets few answers: each weighs as much as the time that it speaks for.
+        // One of many balancers gets few answers: each weighs as much as the time that it speaks for, but
+        // never so much that it cuts alone.
         const double gap = us(now - crowding_at_);
-        const double weight = std::max(crowding_weight, 1 - std::exp(-gap / longest_t1_us_));
+        const double weight = std::clamp(1 - std::exp(-gap / longest_t1_us_), crowding_weight,
+                                         (most_crowding - 1) / full_crowding);
         crowding_ += weight * (sample - crowding_);
         crowding_at_ = now;
         if (crowding_ > most_crowding) {
--- a/tests/decide_test.cpp
+++ b/tests/decide_test.cpp
@@ -1210,6 +1210,26 @@
     EXPECT_EQ(sent_in_a_second(ms(10)), 10u);  // and it comes back
 }
 
+// Guards against a balancer with few answers that takes one request of unusual length for a jam.
+TEST(Refusal, OneTimeOutAloneCutsNoRoom) {
+    Settings s = plain_settings();
+    s.balancers = 40;
+    Rig rig(s);
+    rig.fleet(20);
+    const auto round = [&] {
+        const auto sent = rig.served_wave(unsafe, 4, ms(10));
+        rig.now += ms(90);
+        return sent;
+    };
+    for (int i = 0; i < 40; ++i) round();
+    EXPECT_EQ(round(), 4u);
+    const auto id = rig.request(unsafe);
+    ASSERT_EQ(rig.sink.sends(id), 1u);
+    rig.now += ms(100);
+    rig.end(id, 0, Outcome::timeout, ms(100));
+    EXPECT_EQ(round(), 4u);
+}
+
 // Guards against jams of balancers that each hold just one: the room may be less than one attempt.
 TEST(Refusal, InAJamABalancerWithLessThanOneAttemptToHoldPausesBetweenThem) {
     Settings s = plain_settings();
