Begin a silent watch anew before what it misses counts as told

At fault: net/discovery.cpp, `silence` of 5 s where a line comes every 2 s; decide.cpp on_list, which then waits out the gap of a failed call and its whole span, 1 to 2 s with six balancers and up to 6 s with 300. Silence is noticed after 3 s now, also of a call that has not been answered, and told to the module as its own kind of news: the first one waits no gap, and the span is at most 2.5 s. Repeated silences gap like failures.

A loop that is behind no longer takes bytes that wait in the socket for silence.

--- a/include/flaxdoor/decide.h
+++ b/include/flaxdoor/decide.h
@@ -133,7 +133,9 @@
 // ------------------------------------------------------------------------------------------------ events
 
 enum class UpstreamState { gone, ready, draining };
-enum class ListKind { delta, full, cached, failed };
+// The last two bring no news: a call failed or the subscription broke; the subscription, or the call for it,
+// has fallen silent and is over.
+enum class ListKind { delta, full, cached, failed, silent };
 
 struct UpstreamEntry {
     UpstreamId id = 0;
@@ -217,7 +219,8 @@
     Policy(Policy&&) noexcept;
     Policy& operator=(Policy&&) noexcept;
 
-    // The first list should be of kind `cached`. A `failed` one carries no entries. Versions only grow.
+    // The first list should be of kind `cached`. `failed` and `silent` ones carry no entries. Versions only
+    // grow.
     void on_list(Time now, ListKind kind, const std::vector<UpstreamEntry>& entries,
                  std::uint64_t version = 0);
     void on_request(Time now, const Request& request);
--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -89,6 +89,8 @@
 constexpr double ask_part = 0.005;  // of ask_within, for each balancer: calls of all are spread over so much,
 constexpr double ask_most = 0.5;    //   at most
 constexpr double ask_share = 0.1;   // of ask_within:   and at least, and the first gap after a failed call
+// What a silent watch misses counts as told 6 s after its last word, and the host waits 3 s of them.
+constexpr Micros silent_span = std::chrono::milliseconds(2500);
 constexpr Micros share_span =
     std::chrono::seconds(4);  // of its share that a tenant may save up (1 to 15 tried)
 constexpr Micros log_gap = std::chrono::seconds(1);
@@ -249,13 +251,17 @@
     // ------------------------------------------------------------------------------------ 1. registry
 
     void on_list(Time now, ListKind kind, const std::vector<UpstreamEntry>& entries) {
-        if (kind == ListKind::failed) {
+        if (kind == ListKind::failed || kind == ListKind::silent) {
             if (!s_.must_ask_list) return;
-            // The call failed or the subscription dropped: ask again after a growing gap.
             subscribed_ = false;
+            // Ask again after a growing gap, of which the first silence waits out none: what it hides soon
+            // counts as told.
+            const double last_gap_us = ask_gap_us_;
             ask_gap_us_ =
                 std::min(std::max(ask_gap_us_ * 2, ask_share * us(s_.ask_within)), us(s_.ask_within));
-            set_ask_timer(now + micros(ask_gap_us_ + ask_span_us() * random_.unit()));
+            const bool silent = kind == ListKind::silent;
+            const double span_us = silent ? std::min(ask_span_us(), us(silent_span)) : ask_span_us();
+            set_ask_timer(now + micros((silent ? last_gap_us : ask_gap_us_) + span_us * random_.unit()));
             return;
         }
         if (kind != ListKind::cached) {
--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -15,8 +15,9 @@
 
 using nlohmann::json;
 
-// An empty line comes every 2 s: two of them missed is silence. A call waits its turn no longer either.
-constexpr auto silence = std::chrono::seconds(5);
+// An empty line comes every 2 s on a watch that stands, and a call waits its turn no longer than this either.
+// What a silent watch misses counts as told 6 s after it fell silent: the list has to be here anew by then.
+constexpr auto silence = std::chrono::seconds(3);
 constexpr std::size_t line_most = 4 * body_most;  // a list of some two thousand upstreams
 
 UpstreamState state_of(const std::string& word) {
@@ -97,16 +98,19 @@
     }
 
 private:
-    void end(const char* why) {
+    void end(const char* why, bool silent = false) {
         if (over_) return;
         drop();
-        owner_.ended(*this, why);
+        owner_.ended(*this, why, silent);
     }
 
     void await_news() {
         silence_.expires_after(silence);
         silence_.async_wait([self = shared_from_this()](error_code error) {
-            if (!error && self->silence_.expiry() <= std::chrono::steady_clock::now()) self->end("silence");
+            if (error || self->over_ || self->silence_.expiry() > std::chrono::steady_clock::now()) return;
+            // Guards against a loop that is behind: what has come in meanwhile is about to be read.
+            if (self->reading_ && !quiet(self->socket_)) return;
+            self->end("silence", self->watching_);
         });
     }
 
@@ -119,6 +123,7 @@
         asio::async_write(socket_, asio::buffer(out_), [self = shared_from_this()](error_code error, auto) {
             if (error) self->end("broken");
         });
+        reading_ = true;
         read();
     }
 
@@ -182,6 +187,7 @@
     beast::flat_buffer buffer_;
     http::response_parser<http::string_body> parser_;
     std::string lines_;
+    bool reading_ = false;
     bool first_ = true;
     bool over_ = false;
 };
@@ -256,13 +262,17 @@
     failing_ = true;
 }
 
-void Discovery::ended(Call& call, const char* why) {
+void Discovery::ended(Call& call, const char* why, bool silent) {
     const bool watching = watch_.get() == &call;
     const std::shared_ptr<Call> ended = std::move(watching ? watch_ : fetch_);
     (watching ? watch_ : fetch_).reset();
     if (!watching && std::string_view(why) == "ended") return;  // a call for the list that was answered
     log_failure(std::string(watching ? "watch failed: " : "call failed: ") + why);
-    events_.on_list_failed();
+    if (silent) {
+        events_.on_watch_silent();
+    } else {
+        events_.on_list_failed();
+    }
 }
 
 }  // namespace flaxdoor::net
--- a/src/net/discovery.h
+++ b/src/net/discovery.h
@@ -43,6 +43,7 @@
     virtual ~DiscoveryEvents() = default;
     virtual void on_list(List list) = 0;
     virtual void on_list_failed() = 0;
+    virtual void on_watch_silent() = 0;  // its call has been answered or not; it is over
 };
 
 class Discovery {
@@ -62,7 +63,7 @@
 private:
     class Call;
     bool hear(std::string_view text, bool watching, bool first);
-    void ended(Call& call, const char* why);
+    void ended(Call& call, const char* why, bool silent);
     void log_failure(const std::string& what);
 
     boost::asio::io_context& loop_;
--- a/src/net/host.cpp
+++ b/src/net/host.cpp
@@ -245,9 +245,18 @@
 
 void Host::on_list_failed() {
     handle([this](Time now) { policy_.on_list(now, ListKind::failed, {}); });
+    watch_again(milliseconds(500 + std::random_device{}() % 500));
+}
+
+void Host::on_watch_silent() {
+    handle([this](Time now) { policy_.on_list(now, ListKind::silent, {}); });
+    watch_again(Micros{0});
+}
+
+// Where lists are pushed the policy does not ask, and the agent on this machine costs nothing.
+void Host::watch_again(Micros gap) {
     if (config_.settings.must_ask_list) return;
-    // Where lists are pushed the policy does not ask, and the agent on this machine costs nothing.
-    rewatch_.expires_after(milliseconds(500 + std::random_device{}() % 500));
+    rewatch_.expires_after(gap);
     rewatch_.async_wait([this](error_code error) {
         if (!error) discovery_.watch();
     });
--- a/src/net/host.h
+++ b/src/net/host.h
@@ -79,11 +79,13 @@
     void on_probe_result(ProbeResult result) override;
     void on_list(List list) override;
     void on_list_failed() override;
+    void on_watch_silent() override;
 
     void send(RequestId request, UpstreamId upstream, Micros timeout);
     void answer(RequestId request, HttpResponse response);
     void answer_overdue(RequestId request, Time now);
     void tell_policy(Time now, ListKind kind, const List& list);
+    void watch_again(Micros gap);
     void add_timer(Timer timer);
     void arm();
     void run_timers();
--- a/tests/decide_test.cpp
+++ b/tests/decide_test.cpp
@@ -341,10 +341,41 @@
     }
 }
 
+// What a silent watch misses counts as told 6 s after its last word, of which 3 s have passed when it is
+// noticed; the calls of a fleet are spread over what is left.
+TEST(TheList, AWatchThatFellSilentIsAskedForAnewBeforeItsNewsCountAsTold) {
+    for (const int balancers : {1, 300}) {
+        Settings s = plain_settings();
+        s.must_ask_list = true;
+        s.ask_within = std::chrono::seconds(10);
+        s.balancers = balancers;
+        std::vector<Time> gaps;
+        for (std::uint64_t seed = 1; seed <= 40; ++seed) {
+            Rig rig(s, seed);
+            rig.list(ListKind::cached, {Rig::entry(1)});
+            rig.run(rig.now + s.ask_within);
+            rig.list(ListKind::full, {Rig::entry(1)});
+            rig.list(ListKind::silent, {});
+            const Time silent = rig.now;
+            const int before = rig.sink.watches;
+            while (rig.sink.watches == before && rig.now < silent + ms(3000)) rig.run(rig.now + ms(10));
+            gaps.push_back(rig.now - silent);
+            rig.list(ListKind::silent,
+                     {});  // again, with no news between: the gaps grow as after failed calls
+            rig.run(rig.now + ms(900));
+            EXPECT_EQ(rig.sink.watches, before + 1);
+        }
+        std::sort(gaps.begin(), gaps.end());
+        EXPECT_LE(gaps.back(), ms(2600)) << balancers;
+        EXPECT_GE(gaps.back() - gaps.front(), ms(800)) << balancers;
+    }
+}
+
 TEST(TheList, PushedListsAreNeverAskedFor) {
     Rig rig;
     rig.fleet(2);
     rig.list(ListKind::failed, {});
+    rig.list(ListKind::silent, {});
     rig.run(rig.now + std::chrono::seconds(60));
     EXPECT_EQ(rig.sink.watches, 0);
 }
--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -525,6 +525,30 @@
     }
 }
 
+// A watch falls silent after its first words, or the call for it before any answer. The list has to be asked
+// for anew before what it misses counts as told, 6 s after its last word, also where the policy's own gap
+// after a failed call is long.
+TEST(Discovery, ASilentWatchIsBegunAnewBeforeItsNewsCountAsTold) {
+    for (const auto& [mode, spoke] :
+         {std::pair{"ask", true}, {"ask", false}, {"push", true}, {"push", false}}) {
+        Stage s;
+        s.config["settings"]["registry_mode"] = mode;
+        s.config["settings"]["invariants"]["ask_within"] = 10000.0;
+        s.start();
+        auto& calls = s.discovery.wires;
+        s.until([&] { return !calls.empty() && has(calls[0]->in, "\r\n\r\n"); });
+        if (spoke) calls[0]->say(watch_head + chunk(s.list(9, false).dump() + "\n"));
+        asio::steady_timer told(s.loop, std::chrono::seconds(6));
+        bool late = false;
+        told.async_wait([&](auto) { late = true; });
+        s.until([&] { return late || (calls.size() >= 2 && has(calls[1]->in, "\r\n\r\n")); });
+        EXPECT_FALSE(late) << mode << spoke;
+        EXPECT_TRUE(calls[0]->ended) << mode << spoke;
+        EXPECT_TRUE(has(calls.back()->in, spoke ? "index=9 " : "index=7 ")) << mode;
+        s.host.reset();
+    }
+}
+
 // Discovery that has moved is asked at its new address at once, from the version last heard, whether the old
 // watch still stood or had failed; to the policy it is the same watch.
 TEST(Discovery, IsFollowedToAnotherAddress) {
