Take lists on a watch that are indented over several lines

At fault: net/discovery.cpp take_lines parsed each line for itself, so that an indented list ended the watch as malformed, again at each new watch, and what it held was never heard. An object now ends with the line that closes its last bracket; an empty line inside one tells that it was cut, and ends the watch. Test: Discovery.ListsThatSpanLinesAreTaken, fails without (a request reaches the leaving upstream). The test of bad lines used a line that may now go on; it has a line that can't be read and one that is cut by the next empty line in its place.

--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -49,6 +49,25 @@
     return u;
 }
 
+bool blank(std::string_view text) { return text.find_first_not_of(" \t\r\n") == std::string_view::npos; }
+
+// Brackets opened less brackets closed in a line of JSON.
+int nesting_of(std::string_view line) {
+    int nesting = 0;
+    bool quoted = false;
+    for (std::size_t i = 0; i < line.size(); ++i) {
+        const char c = line[i];
+        if (quoted && c == '\\') {
+            ++i;
+        } else if (c == '"') {
+            quoted = !quoted;
+        } else if (!quoted) {
+            nesting += (c == '{' || c == '[') - (c == '}' || c == ']');
+        }
+    }
+    return nesting;
+}
+
 }  // namespace
 
 UpstreamId id_of(std::string_view name) {
@@ -152,15 +171,21 @@
         read();
     }
 
-    // False when the call is over.
+    // False when the call is over. An object stands on one line or is indented over several, and ends with
+    // the line that closes its last bracket. An empty line tells that one begun before it will not be
+    // finished.
     bool take_lines() {
-        std::size_t at = 0;
-        for (std::size_t end = 0; (end = lines_.find('\n', at)) != std::string::npos; at = end + 1) {
-            std::string_view line = std::string_view(lines_).substr(at, end - at);
-            if (!line.empty() && line.back() == '\r') line.remove_suffix(1);
-            if (!hear(line)) return false;
+        std::size_t begin = 0;
+        for (std::size_t end = 0; (end = lines_.find('\n', line_)) != std::string::npos; line_ = end + 1) {
+            const auto line = std::string_view(lines_).substr(line_, end - line_);
+            open_brackets_ += nesting_of(line);
+            if (open_brackets_ > 0 && !blank(line)) continue;
+            if (!hear(std::string_view(lines_).substr(begin, end - begin))) return false;
+            open_brackets_ = 0;
+            begin = end + 1;
         }
-        lines_.erase(0, at);
+        lines_.erase(0, begin);
+        line_ -= begin;
         return bounded();
     }
 
@@ -187,6 +212,8 @@
     beast::flat_buffer buffer_;
     http::response_parser<http::string_body> parser_;
     std::string lines_;
+    std::size_t line_ = 0;   // where the line begins that is not yet whole
+    int open_brackets_ = 0;  // in what has come before it
     bool reading_ = false;
     bool first_ = true;
     bool over_ = false;
@@ -237,7 +264,7 @@
 // when it brings nothing.
 bool Discovery::hear(std::string_view text, bool watching, bool first) {
     List list;
-    if (watching && text.empty()) {
+    if (watching && blank(text)) {
         if (!first) return true;
         list.version = version_;
     } else {
--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -493,7 +493,7 @@
 }
 
 TEST(Discovery, ResumesAWatchThatFailed) {
-    for (const std::string end : {"cut", "503", "nonsense", "bad line", "unknown zone"}) {
+    for (const std::string end : {"cut", "503", "nonsense", "bad line", "unfinished line", "unknown zone"}) {
         Stage s;
         s.start();
         auto& calls = s.discovery.wires;
@@ -514,7 +514,9 @@
         } else if (end == "cut") {
             calls[0]->close();
         } else if (end == "bad line") {
-            calls[0]->say(chunk("{\"seq\":11,\n"));
+            calls[0]->say(chunk("{\"seq\":11,}\n"));
+        } else if (end == "unfinished line") {
+            calls[0]->say(chunk("{\"seq\":11,\n") + chunk("\n"));
         } else {
             news["seq"] = 11;
             news["hosts"][0]["site"] = "nowhere";
@@ -549,6 +551,34 @@
     }
 }
 
+// An object may be indented over many lines, whatever pieces it comes in, with brackets in its names.
+TEST(Discovery, ListsThatSpanLinesAreTaken) {
+    for (const int indent : {0, 2}) {
+        Stage s;
+        s.start();
+        auto& calls = s.discovery.wires;
+        s.until([&] { return !calls.empty() && has(calls[0]->in, "\r\n\r\n"); });
+        json news = s.list(9, false);
+        news["hosts"] = {s.upstream(0, "leaving")};
+        news["hosts"][0]["note"] = "}]\\\"{";
+        const std::string text = news.dump(indent) + "\r\n";
+        calls[0]->say(watch_head + chunk(text.substr(0, 30)) + chunk(text.substr(30, 60)) +
+                      chunk(text.substr(90)));
+        calls[0]->say(chunk("\n") + chunk("\r\n"));
+        const auto client = s.client();
+        client->say("GET /ready HTTP/1.1\r\nHost: x\r\n\r\n");
+        s.answer(*client);
+        for (int i = 0; i < 6; ++i) {
+            client->say(look());
+            s.request().first->say(ok());
+            EXPECT_EQ(status(s.answer(*client)), 200);
+        }
+        EXPECT_TRUE(s.upstreams[0]->wires.empty()) << indent;
+        EXPECT_FALSE(calls[0]->ended);
+        s.host.reset();
+    }
+}
+
 // Discovery that has moved is asked at its new address at once, from the version last heard, whether the old
 // watch still stood or had failed; to the policy it is the same watch.
 TEST(Discovery, IsFollowedToAnotherAddress) {
