Keep to the newest list, and be back at a pushed one well within the drain grace

Two faults of list watches, found by reading and held by tests with real connections (crossing_test). net/discovery.cpp hear() took over a list of an older version on a watch, so that an upstream told to drain counted as ready again. Versions only grow: an older one now brings no more than the word that the call has succeeded. Lists.AVersionThatGoesBackTakesBackNothing. net/host.cpp on_list_failed() waited 0.5 to 1 s before it watched a pushed list again; what the agent has counts as told meanwhile, and a grace may be shorter. The gap is 1/8 to 1/4 of the grace now, at most 0.5 to 1 s. Lists.APushedWatchIsBackWithinTheGrace.

--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -275,6 +275,8 @@
             return false;
         }
         if (!watching && list.version < version_) return true;  // the watch has overtaken this answer
+        // Versions only grow: an older one brings nothing but the word that the call has succeeded.
+        if (list.version < version_) list = {version_, false, {}};
         version_ = list.version;
     }
     if (failing_) log("discovery: answers again");
--- a/src/net/host.cpp
+++ b/src/net/host.cpp
@@ -21,6 +21,8 @@
 constexpr auto drain_poll = milliseconds(10);
 constexpr Micros drain_slack = milliseconds(100);
 constexpr auto figures_gap = std::chrono::seconds(2);
+// Between two calls for a pushed list, before jitter.
+constexpr Micros rewatch_least = milliseconds(20), rewatch_most = milliseconds(500);
 // Descriptors for what is neither a client's nor an upstream's.
 constexpr std::size_t spare_sockets = 32;
 
@@ -245,7 +247,10 @@
 
 void Host::on_list_failed() {
     handle([this](Time now) { policy_.on_list(now, ListKind::failed, {}); });
-    watch_again(milliseconds(500 + std::random_device{}() % 500));
+    // What the agent has counts as told whether or not a watch stands: the list is back well within the
+    // grace.
+    const Micros gap = std::clamp<Micros>(config_.settings.drain_grace / 8, rewatch_least, rewatch_most);
+    watch_again(gap + gap * (std::random_device{}() % 1000) / 1000);
 }
 
 void Host::on_watch_silent() {
