Answer every request before SIGKILL where deadlines are longer than it waits

At fault: net/host.cpp drain() waited for the longest deadline and 0.55 s, and let each request have all of its own; SIGKILL comes after 3 s and 0.7 s where deadlines are longer, and what it finds unanswered is lost. A request of 6 s whose upstream hangs was lost in each restart. Now what comes in a drain has the time until the kill less 0.15 s, and what waits then is answered as failed. Shutdown.ADeadlineBeyondTheKillIsCutShort, fails without. net/clients.cpp wind_down() closed a connection that had just come, its first request still on its way, and left those in the listener's queue to be reset: Shutdown.AFreshConnectionGetsToSendItsRequest fails without; ConnectionsNotYetAcceptedAreServed did not fail before, as a turn takes one before the timer comes up. Found right: requests that wait for a gap, SIGTERM twice, an answer half written, requests that cross the close.

--- a/src/net/clients.cpp
+++ b/src/net/clients.cpp
@@ -12,6 +12,7 @@
 
 constexpr auto accept_pause = std::chrono::milliseconds(20);  // after one that failed for want of descriptors
 constexpr Micros first_most = std::chrono::milliseconds(2300);  // from connecting to the first whole request
+constexpr Micros fresh_span = std::chrono::milliseconds(100);   //   within this it most likely comes
 constexpr Micros request_most = seconds(10);                    // from a request's first byte to its last
 constexpr Micros answer_most = seconds(10);                     // to take an answer, and to end a connection
 constexpr Micros idle_most = seconds(300);                      // between requests
@@ -119,6 +120,8 @@
         return state_ == State::reading && buffer_.size() == 0 && !parser_->got_some() && quiet(socket_);
     }
     Time since() const { return since_; }
+    // So new that its first request is most likely on its way.
+    bool fresh() const { return !asked_ && owner_.clock_.now() - opened_ < fresh_span; }
 
     bool overdue(Time now) {
         switch (state_) {
@@ -332,9 +335,9 @@
 }
 
 // Room is made only for a connection that has come: one that is closed ahead of need may have a request on
-// its way.
-void Clients::take_connection() {
-    if (connections_.size() >= most_ && !make_room()) return;  // goes on when one closes or is idle
+// its way. Returns whether one has been taken, so that there may be more.
+bool Clients::take_connection() {
+    if (connections_.size() >= most_ && !make_room()) return false;  // goes on when one closes or is idle
     tcp::socket socket(loop_);
     error_code error;
     acceptor_.accept(socket, error);
@@ -343,7 +346,7 @@
     if (error && !passing) {
         make_room();
         accept_later();
-        return;
+        return false;
     }
     if (!error) {
         const auto connection = std::make_shared<Connection>(*this, std::move(socket));
@@ -351,6 +354,7 @@
         connection->start();
     }
     accept();
+    return !error;
 }
 
 // Guards against spinning when descriptors run out: the listener stays ready, and each try fails at once.
@@ -396,9 +400,12 @@
 
 bool Clients::wind_down() {
     winding_down_ = true;
+    // Those that the system has accepted already would be reset with the listener.
+    while (acceptor_.is_open() && take_connection()) {
+    }
     std::vector<std::shared_ptr<Connection>> idle;
     for (const auto& [connection, held] : connections_) {
-        if (connection->idle()) idle.push_back(held);
+        if (connection->idle() && !connection->fresh()) idle.push_back(held);
     }
     for (const auto& connection : idle) connection->close();
     return !connections_.empty();
--- a/src/net/clients.h
+++ b/src/net/clients.h
@@ -53,7 +53,7 @@
     friend class Connection;
 
     void accept();
-    void take_connection();
+    bool take_connection();
     void accept_soon();
     void accept_later();
     bool make_room();
--- a/src/net/host.cpp
+++ b/src/net/host.cpp
@@ -19,7 +19,12 @@
 // New connections keep coming for up to 0.4 s after SIGTERM.
 constexpr auto still_coming = milliseconds(450);
 constexpr auto drain_poll = milliseconds(10);
-constexpr Micros drain_slack = milliseconds(100);
+// SIGKILL comes no sooner after SIGTERM than the longest deadline, or this where it is longer, and
+// kill_after.
+constexpr Micros kill_longest = std::chrono::seconds(3);
+constexpr Micros kill_after = milliseconds(700);
+// Before it: all requests have their answer, and the program ends.
+constexpr Micros last_answer = milliseconds(150), last_moment = milliseconds(50);
 constexpr auto figures_gap = std::chrono::seconds(2);
 // Between two calls for a pushed list, before jitter.
 constexpr Micros rewatch_least = milliseconds(20), rewatch_most = milliseconds(500);
@@ -174,6 +179,7 @@
 
 void Host::on_client_request(ClientRequest request) {
     const Time received = clock_.now();
+    if (draining_) request.budget = std::clamp(answer_by_ - received, Micros{1}, request.budget);
     const Micros unseen_here = std::min(unseen, request.budget / 2);
     request.facts.deadline = received + request.budget - unseen_here;
     const RequestId id = request.facts.id;
@@ -304,6 +310,10 @@
     const auto found = open_.find(request);
     if (found == open_.end() || found->second.answered) return;
     net::log("fault: request " + std::to_string(request) + " was not answered by its deadline");
+    give_up(request, now);
+}
+
+void Host::give_up(RequestId request, Time now) {
     answer(request, failure(http::status::gateway_timeout));
     policy_.on_client_gone(now, request);
 }
@@ -331,7 +341,9 @@
     net::log("draining");
     Micros longest{};
     for (const auto& c : config_.settings.classes) longest = std::max(longest, c.deadline);
-    drain_end_ = clock_.now() + still_coming + longest + drain_slack;
+    const Time kill = clock_.now() + std::min(longest, kill_longest) + kill_after;
+    answer_by_ = kill - last_answer;
+    drain_end_ = kill - last_moment;
     drain_.expires_after(still_coming);
     drain_.async_wait([this](error_code error) {
         if (!error) wind_down();
@@ -339,8 +351,18 @@
 }
 
 // Guards against a request lost at the end: one that is half here, or not yet read, is taken and answered
-// too. A client that never ends its own is not waited for beyond the longest deadline.
+// too, and one that has longer than is left is answered while that is possible. A client that never ends its
+// own is not waited for.
 void Host::wind_down() {
+    if (clock_.now() >= answer_by_) {
+        std::vector<RequestId> waiting;
+        for (const auto& [request, open] : open_) {
+            if (!open.answered) waiting.push_back(request);
+        }
+        for (const RequestId request : waiting) {
+            handle([=, this](Time now) { give_up(request, now); });
+        }
+    }
     if (clients_.wind_down() && clock_.now() < drain_end_) {
         drain_.expires_after(drain_poll);
         drain_.async_wait([this](error_code error) {
--- a/src/net/host.h
+++ b/src/net/host.h
@@ -84,6 +84,7 @@
     void send(RequestId request, UpstreamId upstream, Micros timeout);
     void answer(RequestId request, HttpResponse response);
     void answer_overdue(RequestId request, Time now);
+    void give_up(RequestId request, Time now);
     void tell_policy(Time now, ListKind kind, const List& list);
     void watch_again(Micros gap);
     void add_timer(Timer timer);
@@ -113,6 +114,7 @@
     boost::asio::steady_timer drain_;
     boost::asio::steady_timer figures_;
     bool draining_ = false;
+    Time answer_by_{};  // while draining: SIGKILL comes soon after
     Time drain_end_{};
     bool drained_ = false;
 
--- a/tests/crossing_test.cpp
+++ b/tests/crossing_test.cpp
@@ -94,5 +94,161 @@
     }
 }
 
+// ---------------------------------------------------------------------------------------------- shutdown
+//
+// state of the request   | SIGTERM, and up to SIGKILL
+// not sent yet, unread   | Shutdown.AFreshConnectionGetsToSendItsRequest, .ConnectionsNotYetAcceptedAreServed
+// half read              | Drain.WaitsForARequestThatIsComing
+// waits for a gap        | Shutdown.ARequestThatWaitsIsAnswered
+// out at an upstream     | Drain.ServesWhatComesAndThenEnds, Shutdown.ADeadlineBeyondTheKillIsCutShort
+// being answered         | Shutdown.AnAnswerHalfWrittenIsFinished
+// next on a kept one     | Shutdown.RequestsThatCrossTheCloseAreAnswered
+
+bool ended(Stage& s) { return s.host->drained(); }
+
+// The longest deadline counts as 3 s at most: a request with more must have its answer before the kill,
+// whether it came before SIGTERM or after, and though its upstream hangs.
+TEST(Shutdown, ADeadlineBeyondTheKillIsCutShort) {
+    Stage s;
+    s.start();
+    const auto before = s.client();
+    before->say(once(5000));
+    const auto hangs = s.request().first;
+    asio::steady_timer kill(s.loop, std::chrono::milliseconds(3700));
+    bool killed = false;
+    s.host->drain();
+    kill.async_wait([&](auto) { killed = true; });
+    const auto after = s.client();
+    after->say(once(5000));
+    s.request();
+    s.until([&] { return killed || (has(before->in, "\r\n\r\n") && has(after->in, "\r\n\r\n")); });
+    EXPECT_FALSE(killed);
+    EXPECT_EQ(status(s.answer(*before)), 504);
+    EXPECT_EQ(status(s.answer(*after)), 502);
+    s.until([&] { return before->ended && after->ended && hangs->ended; });
+    before->close();
+    after->close();
+    s.until([&] { return killed || ended(s); });
+    EXPECT_FALSE(killed);
+}
+
+// Connections that the system has accepted and the loop has not, more than one turn takes, at the very moment
+// when the last one that holds the program goes.
+TEST(Shutdown, ConnectionsNotYetAcceptedAreServed) {
+    Stage s(1);
+    s.config["settings"]["services"][0]["aim"] = 4000.0;
+    s.start();
+    const auto idle = s.client(), last = s.client();
+    last->say(look());
+    const auto wire = s.request().first;
+    s.host->drain();
+    s.until([&] { return idle->ended; });  // it winds down
+    wire->say(ok());
+    s.until([&] { return last->ended; });
+    last->close();
+    std::vector<std::shared_ptr<Wire>> late;
+    for (int i = 0; i < 20; ++i) {
+        late.push_back(s.client());
+        late.back()->say(look());
+    }
+    std::size_t answered = 0;
+    s.until([&] {
+        for (const auto& wire : s.upstreams[0]->wires) {
+            if (!wire->take().empty()) wire->say(ok());
+        }
+        answered = 0;
+        for (const auto& wire : late) answered += status(wire->in) == 200 || status(wire->in) == 503;
+        return answered == late.size() || ended(s);
+    });
+    EXPECT_EQ(answered, late.size());
+    for (const auto& wire : late) wire->close();
+    s.until([&] { return ended(s); });
+}
+
+// A connection that came just before idle ones are closed: its first request is on its way.
+TEST(Shutdown, AFreshConnectionGetsToSendItsRequest) {
+    Stage s(1);
+    s.start();
+    const auto idle = s.client();
+    idle->say("GET /ready HTTP/1.1\r\nHost: x\r\n\r\n");
+    EXPECT_EQ(status(s.answer(*idle)), 200);
+    std::shared_ptr<Wire> fresh;
+    asio::steady_timer shortly(s.loop, std::chrono::milliseconds(400));
+    shortly.async_wait([&](auto) { fresh = s.client(); });
+    s.host->drain();
+    s.until([&] { return fresh && idle->ended; });
+    settle(s);
+    EXPECT_FALSE(fresh->ended);
+    fresh->say(look());
+    s.request().first->say(ok());
+    EXPECT_EQ(status(s.answer(*fresh)), 200);
+    fresh->close();
+    s.until([&] { return ended(s); });
+}
+
+TEST(Shutdown, ARequestThatWaitsIsAnswered) {
+    Stage s;
+    s.config["settings"]["services"][0]["aim"] = 2000.0;
+    s.start();
+    const auto client = s.client();
+    client->say(look());
+    s.request().first->reset();  // its gap is waited out
+    settle(s);
+    s.host->drain();
+    s.host->drain();  // SIGTERM may come twice
+    s.request().first->say(ok());
+    EXPECT_EQ(status(s.answer(*client)), 200);
+    s.until([&] { return client->ended; });
+    client->close();
+    s.until([&] { return ended(s); });
+}
+
+// The answer is larger than what the connection takes at once, and its client reads on only after SIGTERM.
+TEST(Shutdown, AnAnswerHalfWrittenIsFinished) {
+    Stage s(1);
+    s.start();
+    tcp::socket slow(s.loop);
+    slow.open(tcp::v4());
+    slow.set_option(asio::socket_base::receive_buffer_size(2048));
+    slow.connect(s.host->address());
+    asio::write(slow, asio::buffer(look()));
+    const std::string body(60000, 'x');
+    s.request().first->say(ok(body));
+    settle(s);
+    s.host->drain();
+    const auto client = std::make_shared<Wire>(std::move(slow));
+    client->start();
+    EXPECT_TRUE(has(s.answer(*client), body));
+    s.until([&] { return client->ended; });
+    client->close();
+    s.until([&] { return ended(s); });
+}
+
+// A client sends its next request on a kept connection the moment it has an answer, all the while.
+TEST(Shutdown, RequestsThatCrossTheCloseAreAnswered) {
+    Stage s(1);
+    s.start();
+    const auto client = s.client();
+    int sent = 1, answered = 0;
+    client->say(look());
+    s.host->drain();
+    s.until([&] {
+        for (const auto& wire : s.upstreams[0]->wires) {
+            if (!wire->take().empty()) wire->say(ok());
+        }
+        if (const auto answer = client->take(); !answer.empty()) {
+            answered += status(answer) == 200;
+            if (!has(answer, "Connection: close")) {
+                client->say(look());
+                ++sent;
+            }
+        }
+        return client->ended;
+    });
+    EXPECT_EQ(sent, answered);
+    client->close();
+    s.until([&] { return ended(s); });
+}
+
 }  // namespace
 }  // namespace flaxdoor::test
