Send nothing on for a client that has left, whatever its request waits for

Three ways, each held by a test with real connections that failed before: - net/clients.cpp read() stopped once 80 KiB stood behind a waiting request, so that the end behind them was never read and the request was sent on after its gap. It reads on now, drops what is beyond, and ends the connection with the answer. HandOver.NothingIsSentOnAfterAGap. - net/host.cpp on_client_left() left an attempt whose connection was coming up to the module, which may not cancel where the settings forbid it: the request went out up to the connect time-out later. It was never sent, so it is withdrawn and ends as moot. HandOver.NothingIsSentOnOverAConnectionThatComesUp. - an outcome that is read before the client's end, both being there, sent the request on: send() looks for the end first. HandOver.ALeavingThatIsNotYetReadIsNoticed. Right before: a client that leaves while it waits for a gap with nothing behind, or for its answer. The lasting line of figures counts attempts withdrawn.

--- a/src/net/clients.cpp
+++ b/src/net/clients.cpp
@@ -136,7 +136,7 @@
 
     void answer(HttpResponse response) {
         response.version(11);
-        response.keep_alive(keep_alive_ && !owner_.winding_down_);
+        response.keep_alive(keep_alive_ && !overrun_ && !owner_.winding_down_);
         response.prepare_payload();
         last_ = !response.keep_alive();
         out_ = to_bytes(response);
@@ -145,6 +145,11 @@
         write();
     }
 
+    // The client's end may be here without its turn to be read having come.
+    void notice_end() {
+        if (ended(socket_)) gone();
+    }
+
     void close() {
         if (closed_) return;
         closed_ = true;
@@ -169,8 +174,7 @@
     }
 
     void read() {
-        // One request at a time: what a client sends beyond the one that waits is bounded too.
-        if (reading_ || buffer_.size() > header_most + body_most) return;
+        if (reading_) return;
         reading_ = true;
         socket_.async_read_some(buffer_.prepare(8 * 1024),
                                 [self = shared_from_this()](error_code error, std::size_t got) {
@@ -182,10 +186,20 @@
                                         return;
                                     }
                                     self->take();
+                                    self->bound();
                                     if (!self->closed_) self->read();
                                 });
     }
 
+    // One request at a time: what a client sends beyond the one that waits is bounded. Past that it is
+    // dropped and the connection ends with the answer; to read no further would be not to notice that the
+    // client has gone.
+    void bound() {
+        if (state_ == State::reading || buffer_.size() <= header_most + body_most) return;
+        buffer_.consume(buffer_.size());
+        overrun_ = true;
+    }
+
     void gone() {
         const bool waited = state_ == State::waiting;
         const RequestId id = id_;
@@ -252,7 +266,7 @@
     }
 
     void written() {
-        if (last_) {
+        if (last_ || overrun_) {
             linger();
             return;
         }
@@ -295,6 +309,7 @@
     bool reading_ = false;
     bool keep_alive_ = true;
     bool continued_ = false;
+    bool overrun_ = false;  // what it sent has been dropped
     bool last_ = false;
     bool closed_ = false;
 };
@@ -398,6 +413,13 @@
     connection->answer(std::move(response));
 }
 
+void Clients::notice_end(RequestId request) {
+    const auto found = waiting_.find(request);
+    if (found == waiting_.end()) return;
+    const auto connection = found->second->shared_from_this();
+    connection->notice_end();
+}
+
 bool Clients::wind_down() {
     winding_down_ = true;
     // Those that the system has accepted already would be reset with the listener.
--- a/src/net/host.cpp
+++ b/src/net/host.cpp
@@ -105,7 +105,8 @@
     Open& open = found->second;
     const AttemptKey attempt{request, open.attempts++};
     ++open.in_flight;
-    // Nothing goes out for a request that has ended, nor more often than allowed.
+    // Nothing goes out for a request that has ended or whose client has gone, nor more often than allowed.
+    clients_.notice_end(request);
     if (open.answered || attempt.number >= config_.settings.max_attempts) {
         AttemptResult moot;
         moot.attempt = attempt;
@@ -198,6 +199,8 @@
     const auto found = open_.find(request);
     if (found == open_.end() || found->second.answered) return;
     found->second.answered = true;
+    // Guards against a connection that comes up after the client has gone, where nothing may be cancelled.
+    upstreams_.withdraw([=](AttemptKey attempt, UpstreamId) { return attempt.request == request; });
     handle([=, this](Time now) { policy_.on_client_gone(now, request); });
     forget_if_over(request);
 }
--- a/src/net/http.cpp
+++ b/src/net/http.cpp
@@ -53,6 +53,12 @@
     return got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
+bool ended(tcp::socket& socket) {
+    char byte = 0;
+    const auto got = ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return got == 0 || (got < 0 && errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR);
+}
+
 bool write_some(tcp::socket& socket, const std::string& bytes, std::size_t& written) {
     while (written < bytes.size()) {
         error_code error;
--- a/src/net/http.h
+++ b/src/net/http.h
@@ -32,6 +32,9 @@
 // No bytes and no end have come: safe to write a request to, or to close between two requests.
 bool quiet(tcp::socket& socket);
 
+// The end of the connection, or its reset, is what comes next on it.
+bool ended(tcp::socket& socket);
+
 // Writes what the socket takes at once. False when the connection is broken.
 bool write_some(tcp::socket& socket, const std::string& bytes, std::size_t& written);
 
--- a/src/net/upstreams.cpp
+++ b/src/net/upstreams.cpp
@@ -96,6 +96,12 @@
 
     // The connection goes with the attempt: what may still come on it belongs to no other.
     void cancel() { end(Outcome::cancelled); }
+    void withdraw() {
+        if (attempt_) end(Outcome::moot);
+    }
+
+    // Has the last byte been handed over? Until then it has not run.
+    bool whole() const { return connected_ && written_ == out_.size(); }
 
     void close() {
         if (closed_) return;
@@ -159,8 +165,6 @@
         }
     }
 
-    bool whole() const { return connected_ && written_ == out_.size(); }
-
     void write() {
         if (!write_some(socket_, out_, written_)) {
             broken();
@@ -349,6 +353,17 @@
     link->cancel();
 }
 
+void Upstreams::withdraw(const std::function<bool(AttemptKey, UpstreamId)>& concerned) {
+    std::vector<Link> links;
+    for (const auto& [attempt, link] : attempts_) {
+        if (!link->whole() && concerned(attempt, link->upstream())) links.push_back(link);
+    }
+    for (const Link& link : links) {
+        ++figures_.withdrawn;
+        link->withdraw();
+    }
+}
+
 void Upstreams::keep(const Link& link) {
     link->rest();
     pools_[link->upstream()].idle.push_back(link);
@@ -385,10 +400,11 @@
     if (f.sent == 0) return {};
     char line[256];
     std::snprintf(line, sizeof line,
-                  "attempts %u: unreadable %u, reset %u, timeout %u, moot %u; connections %zu open, %u made "
+                  "attempts %u: unreadable %u, reset %u, timeout %u, moot %u, withdrawn %u; connections %zu "
+                  "open, %u made "
                   "(slowest %.1f ms), "
                   "%u refused, %u too slow, %u broke unwritten, %u found ended",
-                  f.sent, f.unreadable, f.reset, f.timeout, f.moot, open_, f.made,
+                  f.sent, f.unreadable, f.reset, f.timeout, f.moot, f.withdrawn, open_, f.made,
                   static_cast<double>(f.slowest.count()) / 1e3, f.refused, f.slow, f.unwritten, f.stale);
     return line;
 }
--- a/src/net/upstreams.h
+++ b/src/net/upstreams.h
@@ -4,6 +4,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -59,6 +60,8 @@
     // Sends the request once; what has not come by `expires` is given up.
     void send(AttemptKey attempt, UpstreamId upstream, HttpRequest request, Time expires);
     void cancel(AttemptKey attempt);
+    // Takes back those of which the last byte has not been handed over: they end as moot.
+    void withdraw(const std::function<bool(AttemptKey, UpstreamId)>& concerned);
     // Asks the upstream how it is, at the given path: a request like any other but for its kind of result.
     void probe(UpstreamId upstream, std::string_view path, Time expires);
     void stop();
@@ -79,7 +82,7 @@
     // Tells apart what the policy hears of as one outcome.
     struct Figures {
         unsigned sent = 0, made = 0, refused = 0, slow = 0, unwritten = 0, stale = 0, unreadable = 0,
-                 reset = 0, timeout = 0, moot = 0;
+                 reset = 0, timeout = 0, moot = 0, withdrawn = 0;
         Micros slowest{};  // of the connections made
     };
 
--- a/tests/crossing_test.cpp
+++ b/tests/crossing_test.cpp
@@ -94,6 +94,139 @@
     }
 }
 
+// -------------------------------------------------------------------------------------------- hand-overs
+//
+// the request waits for  | its client leaves
+// a gap                  | HandOver.NothingIsSentOnAfterAGap, also with more bytes behind it than are read
+// a connection           | HandOver.NothingIsSentOnOverAConnectionThatComesUp, whether it may be cancelled or
+// not its turn in the loop   | HandOver.ALeavingThatIsNotYetReadIsNoticed its answer             |
+// Serving.ClientThatLeavesEndsItsAttempt
+
+const std::string turned_away =
+    "HTTP/1.1 503 Service Unavailable\r\nX-Rejected: 1\r\nContent-Length: 0\r\n\r\n";
+
+// Another client's request waits out the same gap and began later: when it is sent on, this one's gap is
+// over.
+TEST(HandOver, NothingIsSentOnAfterAGap) {
+    for (const std::size_t behind : {0, 400000}) {
+        Stage s;
+        s.config["settings"]["services"][0]["aim"] = 1000.0;
+        s.start();
+        const auto client = s.client(), other = s.client();
+        client->say(look(5000, "leaves"));
+        s.request().first->reset();
+        settle(s);
+        client->say(std::string(behind, 'x'));
+        settle(s);
+        client->close();
+        other->say(look(5000, "stays"));
+        s.request().first->reset();
+        const auto [wire, request] = s.request();
+        EXPECT_TRUE(has(request, "stays")) << behind;
+        wire->say(ok());
+        EXPECT_EQ(status(s.answer(*other)), 200);
+        s.host.reset();
+    }
+}
+
+// The client's end stands in its socket when the outcome is read that sends its request on.
+TEST(HandOver, ALeavingThatIsNotYetReadIsNoticed) {
+    Stage s;
+    s.start();
+    const auto client = s.client();
+    client->say(look());
+    const auto wire = s.request().first;
+    wire->say(turned_away);
+    client->close();
+    settle(s);
+    EXPECT_TRUE(s.nothing_sent());
+    EXPECT_EQ(s.connections(), 1U);
+}
+
+// An upstream of which connections come up only when it is let: its queue of them is full till then.
+class Slow {
+public:
+    explicit Slow(Stage& s) : loop_(s.loop), acceptor_(s.loop) {
+        acceptor_.open(tcp::v4());
+        acceptor_.bind(loopback());
+        acceptor_.listen(0);
+        s.config["known"]["hosts"][0]["dial"] = text_of(acceptor_.local_endpoint());
+        for (int i = 0; i < 4; ++i) wait_in_line();
+        s.until([&] { return through_ > 0; });
+    }
+    ~Slow() { acceptor_.close(); }
+
+    void wait_in_line() {
+        lines_.push_back(std::make_shared<tcp::socket>(loop_));
+        lines_.back()->async_connect(acceptor_.local_endpoint(), [this, line = lines_.back()](auto error) {
+            through_ += !error;
+            boost::system::error_code ignored;
+            asio::write(*line, asio::buffer("x", 1), ignored);  // or the listener's side may not come up
+        });
+    }
+    // Takes connections, until all that wait in line have come through.
+    void let(Stage& s) {
+        wait_in_line();  // behind the host's
+        accept();
+        s.until([&] { return through_ == lines_.size() && wires.size() >= lines_.size(); });
+        settle(s);
+    }
+
+    std::vector<std::shared_ptr<Wire>> wires;
+
+private:
+    void accept() {
+        acceptor_.async_accept([this](boost::system::error_code error, tcp::socket socket) {
+            if (error) return;
+            wires.push_back(std::make_shared<Wire>(std::move(socket)));
+            wires.back()->start();
+            accept();
+        });
+    }
+    asio::io_context& loop_;
+    tcp::acceptor acceptor_;
+    std::vector<std::shared_ptr<tcp::socket>> lines_;
+    std::size_t through_ = 0;
+};
+
+// Sends requests until one waits for a connection to the slow upstream, and returns its client.
+std::shared_ptr<Wire> one_that_waits(Stage& s) {
+    for (;;) {
+        const auto client = s.client();
+        client->say(look());
+        settle(s);
+        std::shared_ptr<Wire> served;
+        for (const auto& wire : s.upstreams[1]->wires) {
+            if (!wire->take().empty()) served = wire;
+        }
+        if (!served) return client;
+        served->say(ok());
+        EXPECT_EQ(status(s.answer(*client)), 200);
+    }
+}
+
+void allow_slow_connections(Stage& s) {
+    for (auto& c : s.config["settings"]["services"]) c["aim"] = 15000.0;
+    for (auto& c : s.config["settings"]["services"]) c["hard_limit"] = 15000.0;
+    s.config["settings"]["limits"]["connect_timeout"] = 15000.0;
+}
+
+TEST(HandOver, NothingIsSentOnOverAConnectionThatComesUp) {
+    for (const bool may_cancel : {true, false}) {
+        Stage s;
+        allow_slow_connections(s);
+        s.config["settings"]["limits"]["cancel"] = may_cancel;
+        Slow slow(s);
+        s.start();
+        const auto client = one_that_waits(s);
+        client->close();
+        settle(s);
+        slow.let(s);
+        for (const auto& wire : slow.wires) EXPECT_FALSE(has(wire->in, "GET")) << may_cancel;
+        s.host.reset();
+    }
+}
+
 // ---------------------------------------------------------------------------------------------- shutdown
 //
 // state of the request   | SIGTERM, and up to SIGKILL
