Withdraw what waits for a connection to an upstream that the list takes away

At fault: net/host.cpp tell_policy() closed kept connections only. An attempt whose connection was still coming up wrote its request when it came, up to the connect time-out later; where the drain grace is shorter than that, the send breaks the rule on drains. It is withdrawn as never sent, and the module sends the request elsewhere at once. HandOver.AnUpstreamThatIsTakenAwayGetsNoRequestOverAConnectionThatComesUp: leaving, left, not named any more.

--- a/src/net/host.cpp
+++ b/src/net/host.cpp
@@ -251,6 +251,13 @@
         if (u.entry.state == UpstreamState::gone) upstreams_.close_idle(u.entry.id);
         entries.push_back(u.entry);
     }
+    // Guards against a connection that comes up after its upstream has been told to drain: what was sent
+    // there and has not gone out goes elsewhere.
+    upstreams_.withdraw([&](AttemptKey, UpstreamId upstream) {
+        const auto found = std::find_if(entries.begin(), entries.end(),
+                                        [&](const UpstreamEntry& e) { return e.id == upstream; });
+        return found == entries.end() ? list.whole : found->state != UpstreamState::ready;
+    });
     policy_.on_list(now, kind, entries, list.version);
 }
 
--- a/tests/crossing_test.cpp
+++ b/tests/crossing_test.cpp
@@ -227,6 +227,29 @@
     }
 }
 
+// The list takes an upstream away while a connection there comes up: the request goes to another at once.
+TEST(HandOver, AnUpstreamThatIsTakenAwayGetsNoRequestOverAConnectionThatComesUp) {
+    for (const std::string how : {"leaving", "left", "not named"}) {
+        Stage s;
+        allow_slow_connections(s);
+        Slow slow(s);
+        s.start();
+        const auto client = one_that_waits(s);
+        json news = s.list(9, how == "not named");
+        news["hosts"] = {how == "not named" ? s.upstream(1) : s.upstream(0, how.c_str())};
+        news["hosts"][0]["dial"] =
+            how == "not named" ? news["hosts"][0]["dial"] : s.config["known"]["hosts"][0]["dial"];
+        s.until([&] { return asked(s.discovery, 1); });
+        s.discovery.wires[0]->say(watch_head + chunk(news.dump() + "\n"));
+        settle(s);
+        slow.let(s);
+        for (const auto& wire : slow.wires) EXPECT_FALSE(has(wire->in, "GET")) << how;
+        s.request().first->say(ok("from the other"));
+        EXPECT_TRUE(has(s.answer(*client), "from the other")) << how;
+        s.host.reset();
+    }
+}
+
 // ---------------------------------------------------------------------------------------------- shutdown
 //
 // state of the request   | SIGTERM, and up to SIGKILL
