Let a kept connection rest before it is used again, as a second answer may come late

At fault: net/upstreams.cpp take_idle() handed out a connection the moment its answer was read. A second answer some milliseconds later was then taken for the answer to the next request, which counts as lost. A connection rests 10 ms now; where four rest at one upstream the one that has rested longest is used, so that a fast client opens no more than these. Idle.ASecondAnswerIsNeverGivenToTheNextRequest fails without.

--- a/src/net/upstreams.cpp
+++ b/src/net/upstreams.cpp
@@ -12,6 +12,11 @@
 namespace {
 
 constexpr RequestId probe_request = 0;  // under which probes go: clients' requests count from 1
+// A second answer may come some milliseconds behind the first. Until then a connection is not used again, or
+// it would be taken for the answer to the next request.
+constexpr Micros rest_least = std::chrono::milliseconds(10);
+constexpr std::size_t most_resting =
+    4;                              // at one upstream: with so many, the one that has rested longest is used
 constexpr double idle_share = 0.9;  // of the told idle limit, after which a kept connection is closed here
 
 Outcome outcome_of(const HttpResponse& answer) {
@@ -323,14 +328,21 @@
 // Guards against a kept connection that has ended unnoticed so far: what is written to it would be a reset,
 // and may have run.
 Upstreams::Link Upstreams::take_idle(Pool& pool) {
-    while (!pool.idle.empty()) {
-        Link link = std::move(pool.idle.back());
-        pool.idle.pop_back();
+    const Time now = clock_.now();
+    const auto rests = [&](const Link& link) { return link->idle_since() > now - rest_least; };
+    for (;;) {
+        auto at = std::find_if(pool.idle.begin(), pool.idle.end(), rests);
+        if (at != pool.idle.begin()) {
+            --at;  // the one used last of those that have rested
+        } else if (pool.idle.size() < most_resting) {
+            return nullptr;
+        }
+        const Link link = std::move(*at);
+        pool.idle.erase(at);
         if (link->is_quiet()) return link;
         ++figures_.stale;
         link->close();
     }
-    return nullptr;
 }
 
 // At the cap, the connection that was kept longest makes room.
--- a/tests/crossing_test.cpp
+++ b/tests/crossing_test.cpp
@@ -94,6 +94,42 @@
     }
 }
 
+// -------------------------------------------------------------------------------------- idle connections
+//
+// on a kept connection   | what crosses
+// bytes, nothing asked   | Kept.DropsAConnectionThatSpeaksUnasked
+// a second answer, late  | Idle.ASecondAnswerIsNeverGivenToTheNextRequest
+// the upstream's end     | Kept.NoticesAnEndBeforeReuse, Idle.AnEndBehindARequestIsAReset
+// our own idle close     | Kept.ClosesBeforeTheToldIdleLimit
+
+// The second answer comes once the next request is there.
+TEST(Idle, ASecondAnswerIsNeverGivenToTheNextRequest) {
+    Stage s(1);
+    s.start();
+    const auto client = s.client();
+    client->say(look(5000, "first"));
+    const auto wire = s.request().first;
+    wire->say(ok("to the first"));
+    EXPECT_TRUE(has(s.answer(*client), "to the first"));
+    client->say(look(5000, "second"));
+    const auto next = s.request().first;
+    wire->say(ok("to the first, again"));
+    settle(s);
+    next->say(ok("to the second"));
+    EXPECT_TRUE(has(s.answer(*client), "to the second"));
+}
+
+// An upstream that ends with the request just read: it may have run, and an unsafe one is not sent again.
+TEST(Idle, AnEndBehindARequestIsAReset) {
+    Stage s;
+    s.start();
+    const auto client = s.client();
+    client->say(once());
+    s.request().first->close();
+    EXPECT_EQ(status(s.answer(*client)), 502);
+    EXPECT_TRUE(s.nothing_sent());
+}
+
 // -------------------------------------------------------------------------------------------- hand-overs
 //
 // the request waits for  | its client leaves
