Serve settings without zones, lists with zones that are not named, aims beyond the deadline

At fault: wire.cpp parse_facts() counted no zones as none, and a class whose deadline is shorter than its aim was refused by the module: both ended the start. net/discovery.cpp parse_upstream() threw on a zone that the settings do not name, so that one such upstream made every list unreadable and drains were missed. No zones are one zone; an aim ends with its deadline; zones that are not named are told apart by name. Config.UnusualSettingsAreServed, Config.ZonesThatAreNotNamedAreToldApart, all failing before.

--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -31,15 +31,21 @@
     return static_cast<int>(std::find(names.begin(), names.end(), name) - names.begin());
 }
 
+// Zones are told apart by name, as keyed requests are repeated only within one; which number one has that the
+// settings don't name matters to nobody. Where no zone is told, all is the balancer's own.
+int zone_of(const std::vector<std::string>& names, const std::string& name) {
+    const int place = place_of(names, name);
+    if (name.empty() || place < static_cast<int>(names.size())) return name.empty() ? 0 : place;
+    return place + static_cast<int>(id_of(name) & 0x3fffffff);
+}
+
 ListedUpstream parse_upstream(const json& host, const ListNames& names) {
     ListedUpstream u;
     u.name = host.at("host").get<std::string>();
     u.entry.id = id_of(u.name);
     u.address = parse_endpoint(host.at("dial").get<std::string>());
     u.entry.state = state_of(host.at("health").get<std::string>());
-    // A zone must be known: keyed requests are repeated only within it.
-    u.entry.zone = place_of(names.zones, host.at("site").get<std::string>());
-    if (u.entry.zone == static_cast<int>(names.zones.size())) throw std::invalid_argument("unknown zone");
+    u.entry.zone = zone_of(names.zones, host.contains("site") ? host["site"].get<std::string>() : "");
     u.entry.kind = place_of(names.kinds, host.value("class", ""));
     u.entry.cell = host.value("block", 0);
     u.entry.weight = host.value("share", 1.0);
--- a/src/wire.cpp
+++ b/src/wire.cpp
@@ -1,5 +1,6 @@
 #include "wire.h"
 
+#include <algorithm>
 #include <bit>
 #include <charconv>
 #include <cmath>
@@ -472,8 +473,9 @@
     Settings s;
     s.rank = facts.whole("rank");
     s.balancers = facts.whole("siblings");
-    s.zone = facts.whole("zone");
-    s.zones = static_cast<int>(Facts::split(facts.text("zones")).size());
+    s.zone = facts.whole("zone", 0);
+    // A deployment without zones is one zone.
+    s.zones = std::max(1, static_cast<int>(Facts::split(facts.find("zones").value_or("")).size()));
     s.tier = facts.whole("tier", 0);
     s.tick = facts.span("tick");
 
@@ -482,8 +484,8 @@
         const std::string at = "services." + std::to_string(i) + ".";
         ClassSettings c;
         c.name = std::string(facts.find(at + "name").value_or(""));
-        c.aim = facts.span(at + "aim");
         c.deadline = facts.span(at + "hard_limit");
+        c.aim = std::min(facts.span(at + "aim"), c.deadline);  // what comes later finds no client
         c.worth = facts.number(at + "worth", 1);
         c.late_worth = facts.number(at + "late_worth", 0);
         c.effect = effect_of(facts, at + "effect");
