--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -751,19 +751,16 @@
         for (const auto& a : r.attempts) {
             if (!a.may_have_run) continue;
             if (c.effect == Effect::unsafe) return false;
-            if (!same_group(c.group, upstreams_[a.upstream], upstreams_[to])) return false;
+            const int group = group_of(c.group, upstreams_[a.upstream].entry);
+            if (group != group_of(c.group, upstreams_[to].entry)) return false;
             if (now + s_.tick >= a.sent_at + c.window) return false;
         }
         return true;
     }
 
-    static bool same_group(Group group, const Upstream& a, const Upstream& b) {
-        switch (group) {
-            case Group::all: return true;
-            case Group::zone: return a.entry.zone == b.entry.zone;
-            case Group::cell: return a.entry.cell == b.entry.cell;
-        }
-        return false;
+    // Those of one group drop each other's repeats.
+    static int group_of(Group group, const UpstreamEntry& entry) {
+        return group == Group::zone ? entry.zone : group == Group::cell ? entry.cell : 0;
     }
 
     // The only place from which attempts go out.
