Let a repeat of a keyed request go out within its window or not at all

Lines at fault: may_send looked at the window when the decision was made; Upstreams::Connection then wrote the request whenever the connection came up, up to the connect time-out (200 ms) later.

Ruled out: another group (both upstreams of cell 5 in every list that n3 had); a false "never run" (the first attempt ended as a time-out, and was booked as may have run); a second sending by the client (one X-Call-Id, one request at one balancer).

submit() now says until when the request must have gone out whole. What has not ends as moot, which says nothing of the upstream. Repeats.AKeyedOneStaysWithinItsWindow fails without it, three runs of three.

--- a/include/flaxdoor/decide.h
+++ b/include/flaxdoor/decide.h
@@ -194,8 +194,10 @@
 class Actions {
 public:
     virtual ~Actions() = default;
-    virtual void submit(RequestId request, UpstreamId upstream, Micros timeout) = 0;  // 0: till the deadline
-    virtual void refuse(RequestId request, Micros retry_after) = 0;                   // 0: no advice
+    // Ends as `moot` what has not gone out whole before `send_by`, as on a connection that comes up late.
+    virtual void submit(RequestId request, UpstreamId upstream, Micros timeout,
+                        Time send_by) = 0;                           // timeout 0: till the deadline
+    virtual void refuse(RequestId request, Micros retry_after) = 0;  // 0: no advice
     virtual void fail(RequestId request) = 0;
     virtual void cancel(RequestId request, int attempt) = 0;
     virtual void probe(UpstreamId upstream) = 0;
--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -744,7 +744,7 @@
     // Rules 1 and 2: may this request be sent (again), to this upstream, now? Every send passes here.
     bool may_send(const Open& r, std::size_t to, Time now) const {
         const ClassSettings& c = s_.classes[class_of(r)];
-        if (r.done || now >= r.request.deadline) return false;
+        if (r.done || now >= send_by(r)) return false;
         if (static_cast<int>(r.attempts.size()) >= s_.max_attempts) return false;
         if (r.in_flight > 0) return false;
         if (c.effect == Effect::safe) return true;
@@ -753,11 +753,20 @@
             if (c.effect == Effect::unsafe) return false;
             const int group = group_of(c.group, upstreams_[a.upstream].entry);
             if (group != group_of(c.group, upstreams_[to].entry)) return false;
-            if (now + s_.tick >= a.sent_at + c.window) return false;
         }
         return true;
     }
 
+    // When a further attempt must have gone out whole: the group forgets an attempt that may have run after
+    // the window, and a connection may come up later than that.
+    Time send_by(const Open& r) const {
+        const ClassSettings& c = s_.classes[class_of(r)];
+        const auto ran = std::find_if(r.attempts.begin(), r.attempts.end(),
+                                      [](const Attempt& a) { return a.may_have_run; });
+        if (c.effect != Effect::keyed || ran == r.attempts.end()) return r.request.deadline;
+        return std::min(r.request.deadline, ran->sent_at + c.window - s_.tick);
+    }
+
     // Those of one group drop each other's repeats.
     static int group_of(Group group, const UpstreamEntry& entry) {
         return group == Group::zone ? entry.zone : group == Group::cell ? entry.cell : 0;
@@ -769,6 +778,7 @@
         Upstream& u = upstreams_[to];
         if (!may_send(r, to, now) || !may_get_new_work(u, now)) return false;
         const Micros timer = attempt_timer(r, now);
+        const Time latest = send_by(r);
         if (u.in_flight++ == 0) {
             u.busy_since = now;
             busy_.push_back(to);
@@ -780,7 +790,7 @@
         count_held(now);
         spend_cold_budget(u);
         const Micros left = r.request.deadline - now;
-        actions_.submit(r.request.id, u.entry.id, timer > Micros{0} ? timer : left);
+        actions_.submit(r.request.id, u.entry.id, timer > Micros{0} ? timer : left, latest);
         return true;
     }
 
--- a/src/net/host.cpp
+++ b/src/net/host.cpp
@@ -95,11 +95,11 @@
 
 // ------------------------------------------------------------------------------------------------ actions
 
-void Host::submit(RequestId request, UpstreamId upstream, Micros timeout) {
-    actions_.push_back([=, this] { send(request, upstream, timeout); });
+void Host::submit(RequestId request, UpstreamId upstream, Micros timeout, Time send_by) {
+    actions_.push_back([=, this] { send(request, upstream, timeout, send_by); });
 }
 
-void Host::send(RequestId request, UpstreamId upstream, Micros timeout) {
+void Host::send(RequestId request, UpstreamId upstream, Micros timeout, Time send_by) {
     const auto found = open_.find(request);
     if (found == open_.end()) return;
     Open& open = found->second;
@@ -120,7 +120,7 @@
     HttpRequest message = open.message;
     const auto left = std::chrono::duration_cast<milliseconds>(expires - now);
     message.set("X-Budget-Ms", std::to_string(std::max<std::int64_t>(1, left.count())));
-    upstreams_.send(attempt, upstream, std::move(message), expires);
+    upstreams_.send(attempt, upstream, std::move(message), expires, send_by);
 }
 
 void Host::refuse(RequestId request, Micros retry_after) {
--- a/src/net/host.h
+++ b/src/net/host.h
@@ -60,7 +60,7 @@
     // Events run one after another, each followed by the actions that it caused, in order.
     void handle(std::function<void(Time)> event);
 
-    void submit(RequestId request, UpstreamId upstream, Micros timeout) override;
+    void submit(RequestId request, UpstreamId upstream, Micros timeout, Time send_by) override;
     void refuse(RequestId request, Micros retry_after) override;
     void fail(RequestId request) override;
     void cancel(RequestId request, int attempt) override;
@@ -81,7 +81,7 @@
     void on_list_failed() override;
     void on_watch_silent() override;
 
-    void send(RequestId request, UpstreamId upstream, Micros timeout);
+    void send(RequestId request, UpstreamId upstream, Micros timeout, Time send_by);
     void answer(RequestId request, HttpResponse response);
     void answer_overdue(RequestId request, Time now);
     void give_up(RequestId request, Time now);
--- a/src/net/upstreams.cpp
+++ b/src/net/upstreams.cpp
@@ -65,8 +65,9 @@
     Time idle_since() const { return since_; }
     bool is_quiet() { return buffer_.size() == 0 && quiet(socket_); }
 
-    void connect(const tcp::endpoint& address, AttemptKey attempt, std::string bytes, Time expires) {
-        begin(attempt, std::move(bytes), expires);
+    void connect(const tcp::endpoint& address, AttemptKey attempt, std::string bytes, Time expires,
+                 Time send_by) {
+        begin(attempt, std::move(bytes), expires, send_by);
         error_code error;
         socket_.open(address.protocol(), error);
         if (!error) socket_.non_blocking(true, error);
@@ -77,7 +78,7 @@
         }
         socket_.set_option(tcp::no_delay(true), error);
         const Micros limit = owner_.limits_.connect;
-        arm(limit > Micros{0} ? std::min(expires, since_ + limit) : expires);
+        arm(limit > Micros{0} ? std::min(send_by_, since_ + limit) : send_by_);
         socket_.async_connect(address, [self = shared_from_this()](error_code failed) {
             if (self->closed_) return;
             if (failed) {
@@ -90,13 +91,13 @@
             ++figures.made;
             figures.slowest = std::max(figures.slowest, self->owner_.clock_.now() - self->since_);
             self->read();
-            self->exchange();
+            self->write();
         });
     }
 
-    void reuse(AttemptKey attempt, std::string bytes, Time expires) {
-        begin(attempt, std::move(bytes), expires);
-        exchange();
+    void reuse(AttemptKey attempt, std::string bytes, Time expires, Time send_by) {
+        begin(attempt, std::move(bytes), expires, send_by);
+        write();
     }
 
     // The connection goes with the attempt: what may still come on it belongs to no other.
@@ -126,12 +127,13 @@
     }
 
 private:
-    void begin(AttemptKey attempt, std::string bytes, Time expires) {
+    void begin(AttemptKey attempt, std::string bytes, Time expires, Time send_by) {
         attempt_ = attempt;
         out_ = std::move(bytes);
         written_ = 0;
         since_ = owner_.clock_.now();
         expires_ = expires;
+        send_by_ = std::min(send_by, expires);
         start_answer();
     }
 
@@ -142,11 +144,6 @@
         parser_->eager(true);
     }
 
-    void exchange() {
-        arm(expires_);
-        write();
-    }
-
     void arm(Time at) {
         timer_.expires_at(owner_.clock_.steady(at));
         timer_.async_wait([self = shared_from_this()](error_code error) {
@@ -162,7 +159,7 @@
             owner_.forget(shared_from_this());
         } else if (whole()) {
             end(Outcome::timeout);
-        } else if (owner_.clock_.now() >= expires_) {
+        } else if (owner_.clock_.now() >= send_by_) {
             end(Outcome::moot);
         } else {
             ++owner_.figures_.slow;
@@ -171,10 +168,10 @@
     }
 
     void write() {
-        if (!write_some(socket_, out_, written_)) {
-            broken();
-            return;
-        }
+        // The connection came up late, or the loop is late itself: from here on it could run once more.
+        if (owner_.clock_.now() >= send_by_) return end(Outcome::moot);
+        if (!write_some(socket_, out_, written_)) return broken();
+        arm(whole() ? expires_ : send_by_);
         if (whole()) return;
         socket_.async_wait(tcp::socket::wait_write, [self = shared_from_this()](error_code error) {
             if (!error && !self->closed_ && self->attempt_) self->write();
@@ -266,6 +263,7 @@
     std::size_t written_ = 0;
     Time since_{};  // when the attempt was sent, or when the connection was put by
     Time expires_{};
+    Time send_by_{};  // not after `expires_`
     bool connected_ = false;
     bool closed_ = false;
 };
@@ -299,7 +297,8 @@
     return pool == pools_.end() ? 0 : pool->second.idle.size();
 }
 
-void Upstreams::send(AttemptKey attempt, UpstreamId upstream, HttpRequest request, Time expires) {
+void Upstreams::send(AttemptKey attempt, UpstreamId upstream, HttpRequest request, Time expires,
+                     Time send_by) {
     const Time now = clock_.now();
     const auto found = pools_.find(upstream);
     if (now >= expires || found == pools_.end() || !found->second.address) {
@@ -309,11 +308,11 @@
     Pool& pool = found->second;
     if (Link link = take_idle(pool)) {
         attempts_.emplace(attempt, link);
-        link->reuse(attempt, to_bytes(request), expires);
+        link->reuse(attempt, to_bytes(request), expires, send_by);
     } else if (make_room()) {
         link = std::make_shared<Connection>(*this, upstream);
         attempts_.emplace(attempt, link);
-        link->connect(*pool.address, attempt, to_bytes(request), expires);
+        link->connect(*pool.address, attempt, to_bytes(request), expires, send_by);
     } else {
         report(attempt, upstream, Outcome::moot, now);
     }
@@ -322,7 +321,7 @@
 void Upstreams::probe(UpstreamId upstream, std::string_view path, Time expires) {
     HttpRequest request(http::verb::get, {path.data(), path.size()}, 11);
     request.set(http::field::host, "upstream");
-    send({probe_request, ++probes_}, upstream, std::move(request), expires);
+    send({probe_request, ++probes_}, upstream, std::move(request), expires, expires);
 }
 
 // Guards against a kept connection that has ended unnoticed so far: what is written to it would be a reset,
--- a/src/net/upstreams.h
+++ b/src/net/upstreams.h
@@ -57,8 +57,9 @@
 
     void set_address(UpstreamId upstream, const boost::asio::ip::tcp::endpoint& address);
     void close_idle(UpstreamId upstream);
-    // Sends the request once; what has not come by `expires` is given up.
-    void send(AttemptKey attempt, UpstreamId upstream, HttpRequest request, Time expires);
+    // Sends the request once; what has not come by `expires` is given up. What has not gone out whole by
+    // `send_by` ends as moot.
+    void send(AttemptKey attempt, UpstreamId upstream, HttpRequest request, Time expires, Time send_by);
     void cancel(AttemptKey attempt);
     // Takes back those of which the last byte has not been handed over: they end as moot.
     void withdraw(const std::function<bool(AttemptKey, UpstreamId)>& concerned);
--- a/src/simhost.cpp
+++ b/src/simhost.cpp
@@ -25,7 +25,7 @@
     void stop() { policy_.reset(); }
     Policy* policy() { return policy_.get(); }
 
-    void submit(RequestId request, UpstreamId upstream, Micros timeout) override {
+    void submit(RequestId request, UpstreamId upstream, Micros timeout, Time) override {
         reply_.submit(number_, request, upstream, timeout);
     }
     void refuse(RequestId request, Micros retry_after) override {
--- a/tests/crossing_test.cpp
+++ b/tests/crossing_test.cpp
@@ -286,6 +286,42 @@
     }
 }
 
+// ----------------------------------------------------------------------------------------------- repeats
+//
+// a request that may have run  | what crosses its repeat
+// keyed                        | the window's end, a connection comes up:
+// Repeats.AKeyedOneStaysWithinItsWindow
+
+// The connection for the repeat comes up when the group has forgotten the first attempt.
+TEST(Repeats, AKeyedOneStaysWithinItsWindow) {
+    const std::chrono::milliseconds window(600);
+    Stage s;
+    allow_slow_connections(s);
+    s.config["settings"]["services"][1]["aim"] = 200.0;
+    s.config["settings"]["services"][1]["window"] = 600.0;
+    s.config["settings"]["limits"]["max_attempts"] = 2;  // so that the repeat waits without a time-out
+    Slow slow(s);
+    s.start();
+    std::shared_ptr<Wire> client, first;
+    while (!first) {  // until one goes to the other upstream first
+        client = s.client();
+        client->say(book());
+        settle(s);
+        for (const auto& wire : s.upstreams[1]->wires) {
+            if (!wire->take().empty()) first = wire;
+        }
+        if (!first) client->close();
+    }
+    asio::steady_timer forgets(s.loop, window);
+    bool forgotten = false;
+    forgets.async_wait([&](auto) { forgotten = true; });
+    first->reset();
+    s.until([&] { return forgotten; });
+    slow.let(s);
+    for (const auto& wire : slow.wires) EXPECT_FALSE(has(wire->in, "POST"));
+    EXPECT_EQ(status(s.answer(*client)), 502);
+}
+
 // ---------------------------------------------------------------------------------------------- shutdown
 //
 // state of the request   | SIGTERM, and up to SIGKILL
--- a/tests/decide_test.cpp
+++ b/tests/decide_test.cpp
@@ -174,6 +174,19 @@
     EXPECT_EQ(rig.sink.failed, std::vector<RequestId>{id});
 }
 
+// A connection may come up late: the host is told until when the request may go out.
+TEST(NoEffectTwice, KeyedMustGoOutWithinItsWindow) {
+    Rig rig;
+    rig.fleet(3);
+    const Time first = rig.now;
+    const auto id = rig.request(keyed_zone);
+    EXPECT_EQ(rig.sink.submits[0].send_by, first + ms(1000));  // its deadline
+    rig.end(id, 0, Outcome::error, ms(1));
+    rig.run(rig.now + ms(399));
+    ASSERT_EQ(rig.sink.sends(id), 2u);
+    EXPECT_EQ(rig.sink.submits[1].send_by, first + ms(399));  // its window, less a tick
+}
+
 TEST(NoEffectTwice, KeyedEverywhereMayBeRefused) {
     Settings s = plain_settings();
     s.max_attempts = 1;
--- a/tests/embed/main.cpp
+++ b/tests/embed/main.cpp
@@ -8,7 +8,8 @@
 using std::chrono::milliseconds;
 
 struct Host : flaxdoor::Actions {
-    void submit(flaxdoor::RequestId request, flaxdoor::UpstreamId upstream, flaxdoor::Micros) override {
+    void submit(flaxdoor::RequestId request, flaxdoor::UpstreamId upstream, flaxdoor::Micros,
+                flaxdoor::Time) override {
         std::printf("request %d to upstream %d\n", static_cast<int>(request), static_cast<int>(upstream));
         last = upstream;
         ++sent;
--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -216,7 +216,8 @@
     net::Upstreams upstreams(s.loop, clock, {std::chrono::seconds(5), {}, 8}, {}, sink);
     upstreams.set_address(1, s.upstreams[0]->address());
     net::HttpRequest request(boost::beast::http::verb::get, "/api", 11);
-    upstreams.send({1, 0}, 1, std::move(request), clock.now() + std::chrono::seconds(15));
+    const Time expires = clock.now() + std::chrono::seconds(15);
+    upstreams.send({1, 0}, 1, std::move(request), expires, expires);
     const auto wire = s.request().first;
     wire->say(said);
     if (cut) wire->close();
--- a/tests/peers.h
+++ b/tests/peers.h
@@ -216,6 +216,11 @@
            std::to_string(budget_ms) + "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
            std::string(body);
 }
+inline std::string book(int budget_ms = 5000) {
+    return "POST /api HTTP/1.1\r\nHost: api.internal\r\nX-Call-Id: c3\r\nX-Call-Class: book it\r\n"
+           "Idempotency-Key: k1\r\nX-Budget-Ms: " +
+           std::to_string(budget_ms) + "\r\nContent-Length: 0\r\n\r\n";
+}
 inline std::string ok(std::string_view body = "served", std::string_view headers = "") {
     return "HTTP/1.1 200 OK\r\n" + std::string(headers) + "Content-Length: " + std::to_string(body.size()) +
            "\r\n\r\n" + std::string(body);
--- a/tests/property_test.cpp
+++ b/tests/property_test.cpp
@@ -29,12 +29,13 @@
     Checker(const Settings& settings, std::uint32_t seed)
         : s(settings), random(seed), policy(settings, seed, now, *this) {}
 
-    void submit(RequestId id, UpstreamId upstream, Micros timeout) override {
+    void submit(RequestId id, UpstreamId upstream, Micros timeout, Time send_by) override {
         Asked& a = asked.at(id);
         const UpstreamEntry& to = listed.at(upstream);
         note("submit", id * 1000 + upstream);
         EXPECT_FALSE(a.over) << "sent after the end of request " << id;
         EXPECT_LE(now + timeout, a.request.deadline);
+        EXPECT_LE(send_by, a.request.deadline);
         EXPECT_LT(a.attempts.size(), static_cast<std::size_t>(s.max_attempts));
         EXPECT_EQ(to.state, UpstreamState::ready) << "sent to an upstream that drains or is gone";
         const ClassSettings& c = s.classes[static_cast<std::size_t>(a.request.class_index)];
@@ -43,6 +44,7 @@
             if (!e.may_have_run || c.effect == Effect::safe) continue;
             EXPECT_EQ(c.effect, Effect::keyed) << "an unsafe effect twice";
             EXPECT_LT(now, e.at + c.window);
+            EXPECT_LT(send_by, e.at + c.window);
             if (c.group == Group::zone) {
                 EXPECT_EQ(e.to.zone, to.zone);
             }
--- a/tests/rig.h
+++ b/tests/rig.h
@@ -21,12 +21,13 @@
     RequestId request;
     UpstreamId upstream;
     Micros timeout;
+    Time send_by;
 };
 
 class Recorder : public Actions {
 public:
-    void submit(RequestId request, UpstreamId upstream, Micros timeout) override {
-        submits.push_back({request, upstream, timeout});
+    void submit(RequestId request, UpstreamId upstream, Micros timeout, Time send_by) override {
+        submits.push_back({request, upstream, timeout, send_by});
         note("submit", request);
     }
     void refuse(RequestId request, Micros) override {
