Keep a keyed repeat in the group that its first attempt was sent to

Found by reading. may_send compared the groups that the list gives now: an upstream moved to another cell after it may have run a request took that request's repeats along, to upstreams that don't know its key. The group is kept with the attempt. NoEffectTwice.KeyedStaysInTheGroupThatItWasSentTo was seen to fail without it.

--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -191,6 +191,7 @@
     std::size_t upstream = 0;
     Time sent_at{};
     int ours = 1;        // attempts of ours at the upstream then, this one included
+    int group = 0;       // of the upstream then: those that know the request drop its repeats, wherever it is
     bool first = false;  // no connection was open there
     bool in_flight = true;
     bool may_have_run = true;  // until its outcome proves otherwise
@@ -751,8 +752,7 @@
         for (const auto& a : r.attempts) {
             if (!a.may_have_run) continue;
             if (c.effect == Effect::unsafe) return false;
-            const int group = group_of(c.group, upstreams_[a.upstream].entry);
-            if (group != group_of(c.group, upstreams_[to].entry)) return false;
+            if (a.group != group_of(c.group, upstreams_[to].entry)) return false;
         }
         return true;
     }
@@ -785,7 +785,8 @@
         }
         const bool first = !u.linked;
         u.linked = true;
-        r.attempts.push_back({to, now, u.in_flight, first, true, true});
+        const int group = group_of(s_.classes[class_of(r)].group, u.entry);
+        r.attempts.push_back({to, now, u.in_flight, group, first, true, true});
         ++r.in_flight;
         count_held(now);
         spend_cold_budget(u);
--- a/tests/decide_test.cpp
+++ b/tests/decide_test.cpp
@@ -174,6 +174,22 @@
     EXPECT_EQ(rig.sink.failed, std::vector<RequestId>{id});
 }
 
+// An upstream that is moved to another group leaves those behind that know the request.
+TEST(NoEffectTwice, KeyedStaysInTheGroupThatItWasSentTo) {
+    Rig rig;
+    const auto in_cell = [](UpstreamId id, int cell) {
+        return Rig::entry(id, 0, UpstreamState::ready, Time{}, cell);
+    };
+    rig.list(ListKind::full, {in_cell(1, 7), in_cell(2, 8)});
+    const auto id = rig.request(keyed_cell);
+    ASSERT_EQ(rig.sink.sends(id), 1u);
+    const bool to_first = rig.sink.submits[0].upstream == 1;
+    rig.list(ListKind::delta, {in_cell(1, to_first ? 8 : 7), in_cell(2, to_first ? 8 : 7)});
+    rig.end(id, 0, Outcome::error, ms(1));
+    rig.run(rig.now + ms(399));
+    EXPECT_EQ(rig.sink.sends(id), 1u);
+}
+
 // A connection may come up late: the host is told until when the request may go out.
 TEST(NoEffectTwice, KeyedMustGoOutWithinItsWindow) {
     Rig rig;
