--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -795,10 +795,6 @@
         return true;
     }
 
-    void set_wake(std::size_t slot, Time at) {
-        actions_.set_timer(at, token_of(TimerKind::wake, slot, ++open_[slot].wake));
-    }
-
     // The attempt time-out is the retry timer. There is none where it could gain nothing: no further attempt
     // would be allowed after it, or none would fit before the deadline.
     Micros attempt_timer(const Open& r, Time now) const {
@@ -821,15 +817,9 @@
         Open& r = open_[slot];
         const Time at = std::max(since + gap(r), now);
         ++r.round;
-        if (at + s_.tick >= r.request.deadline) {
-            finish(slot);
-            return;
-        }
-        if (at <= now) {
-            wake(slot, now);
-            return;
-        }
-        set_wake(slot, at);
+        if (at + s_.tick >= r.request.deadline) return finish(slot);
+        if (at <= now) return wake(slot, now);
+        actions_.set_timer(at, token_of(TimerKind::wake, slot, ++r.wake));
     }
 
     void wake(std::size_t slot, Time now) {
@@ -876,14 +866,8 @@
         learn_zone(u, end, c);
         learn_health(u, end.outcome, c, now);
         if (end.closed) r.done = true;
-        if (r.done) {
-            release_if_over(slot);
-            return;
-        }
-        if (!may_try_again(r, now)) {
-            finish(slot);
-            return;
-        }
+        if (r.done) return release_if_over(slot);
+        if (!may_try_again(r, now)) return finish(slot);
         // Guards against small waiting rooms that many balancers fill unseen by each other: what was turned
         // away without having run goes on through the gate without a gap, while it still can be in time. Acts
         // for the first attempts of a request only.
