Ask discovery again within 2.5 s however many calls have failed

The program fell short: gaps after failed calls grew to ask_within (10 s) and were spread over up to half of it. Now a gap of 0.5 s doubles once, and all balancers are spread over what is left of 2.5 s; with the 3 s after which the host gives a silent call up that is within the 6 s.

--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -88,9 +88,11 @@
 constexpr double left_creep = 1e-3;  // fall, by a request, of the longest time that clients leave us
 constexpr double ask_part = 0.005;  // of ask_within, for each balancer: calls of all are spread over so much,
 constexpr double ask_most = 0.5;    //   at most
-constexpr double ask_share = 0.1;   // of ask_within:   and at least, and the first gap after a failed call
-// What a silent watch misses counts as told 6 s after its last word, and the host waits 3 s of them.
-constexpr Micros silent_span = std::chrono::milliseconds(2500);
+constexpr double ask_share = 0.1;   // of ask_within:   and at least
+// From the end of a failed call to the next, at most: a change counts as told 6 s after it could be heard, of
+// which the host may wait 3 s for a call that says nothing.
+constexpr Micros ask_again = std::chrono::milliseconds(2500);
+constexpr double ask_first = 0.2;  // of that, the first gap
 constexpr Micros share_span =
     std::chrono::seconds(4);  // of its share that a tenant may save up (1 to 15 tried)
 constexpr Micros log_gap = std::chrono::seconds(1);
@@ -255,14 +257,13 @@
         if (kind == ListKind::failed || kind == ListKind::silent) {
             if (!s_.must_ask_list) return;
             subscribed_ = false;
-            // Ask again after a growing gap, of which the first silence waits out none: what it hides soon
-            // counts as told.
-            const double last_gap_us = ask_gap_us_;
-            ask_gap_us_ =
-                std::min(std::max(ask_gap_us_ * 2, ask_share * us(s_.ask_within)), us(s_.ask_within));
-            const bool silent = kind == ListKind::silent;
-            const double span_us = silent ? std::min(ask_span_us(), us(silent_span)) : ask_span_us();
-            set_ask_timer(now + micros((silent ? last_gap_us : ask_gap_us_) + span_us * random_.unit()));
+            // A gap that doubles once, of which a first silence waits out none, and a spread over the rest.
+            const double most_us = us(std::min(ask_again, s_.ask_within));
+            const bool no_gap = kind == ListKind::silent && ask_gap_us_ == 0;
+            ask_gap_us_ = std::clamp(2 * ask_gap_us_, ask_first * most_us, 2 * ask_first * most_us);
+            const double gap_us = no_gap ? 0 : ask_gap_us_;
+            const double span_us = std::min(ask_span_us(), most_us - gap_us);
+            set_ask_timer(now + micros(gap_us + span_us * random_.unit()));
             return;
         }
         if (kind != ListKind::cached) {
--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -560,6 +560,30 @@
     }
 }
 
+// However many calls were refused or broken, and though the next one is given up: a change that discovery has
+// from then on is asked for before it counts as told.
+TEST(Discovery, CallsThatFailedDoNotDelayTheNextBeyondWhatCountsAsTold) {
+    Stage s;
+    s.config["settings"]["invariants"]["ask_within"] = 10000.0;
+    s.start();
+    auto& calls = s.discovery.wires;
+    const auto called = [&](std::size_t n) { return calls.size() >= n && has(calls[n - 1]->in, "\r\n\r\n"); };
+    for (std::size_t n = 1; n <= 3; ++n) {
+        s.until([&] { return called(n); });
+        if (n == 2) {
+            calls[n - 1]->reset();
+        } else {
+            calls[n - 1]->say("HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n");
+        }
+    }
+    s.until([&] { return called(4); });  // it is not answered
+    asio::steady_timer told(s.loop, std::chrono::seconds(6));
+    bool late = false;
+    told.async_wait([&](auto) { late = true; });
+    s.until([&] { return late || called(5); });
+    EXPECT_FALSE(late);
+}
+
 // An object may be indented over many lines, whatever pieces it comes in, with brackets in its names.
 TEST(Discovery, ListsThatSpanLinesAreTaken) {
     for (const int indent : {0, 2}) {
