Notice a client that has gone behind unread bytes and as a connection comes up

The program fell short in two orders: an end behind bytes that are still unread was not seen when a request was sent on (net::ended looked at the next byte only), and a connection that had come up was written to before the loop read the client's end, however late the loop was (Upstreams::Connection::connect).

ended() asks the system for the end behind unread bytes too, and the host looks once more when a connection comes up. HandOver.ALeavingThatIsNotYetReadIsNoticed (with 20,000 bytes behind) and .WhatIsWithdrawnAsItsConnectionComesUpIsNotSent were seen to fail without it; waiting for a gap, for a list and for a connection was right before.

--- a/src/net/host.cpp
+++ b/src/net/host.cpp
@@ -230,6 +230,9 @@
     handle([this, end](Time now) { policy_.on_attempt_end(now, end); });
 }
 
+// Its client may have gone meanwhile, and the news of it be next in the loop.
+void Host::on_connection(AttemptKey attempt) { clients_.notice_end(attempt.request); }
+
 void Host::on_probe_result(ProbeResult result) {
     handle([this, result = std::move(result)](Time now) { policy_.on_probe_result(now, result); });
 }
--- a/src/net/http.cpp
+++ b/src/net/http.cpp
@@ -1,5 +1,6 @@
 #include "net/http.h"
 
+#include <poll.h>
 #include <sys/socket.h>
 
 #include <boost/asio/buffer.hpp>
@@ -56,7 +57,9 @@
 bool ended(tcp::socket& socket) {
     char byte = 0;
     const auto got = ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-    return got == 0 || (got < 0 && errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR);
+    if (got <= 0) return got == 0 || (errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR);
+    pollfd behind{socket.native_handle(), POLLRDHUP, 0};  // what came before the end is still unread
+    return ::poll(&behind, 1, 0) > 0;
 }
 
 bool write_some(tcp::socket& socket, const std::string& bytes, std::size_t& written) {
--- a/src/net/http.h
+++ b/src/net/http.h
@@ -32,7 +32,7 @@
 // No bytes and no end have come: safe to write a request to, or to close between two requests.
 bool quiet(tcp::socket& socket);
 
-// The end of the connection, or its reset, is what comes next on it.
+// The end of the connection, or its reset, has come: next, or behind bytes that are still unread.
 bool ended(tcp::socket& socket);
 
 // Writes what the socket takes at once. False when the connection is broken.
--- a/src/net/upstreams.cpp
+++ b/src/net/upstreams.cpp
@@ -90,6 +90,8 @@
             Figures& figures = self->owner_.figures_;
             ++figures.made;
             figures.slowest = std::max(figures.slowest, self->owner_.clock_.now() - self->since_);
+            self->owner_.events_.on_connection(*self->attempt_);
+            if (self->closed_) return;
             self->read();
             self->write();
         });
--- a/src/net/upstreams.h
+++ b/src/net/upstreams.h
@@ -40,6 +40,8 @@
     virtual ~UpstreamEvents() = default;
     // Exactly once for every attempt; may come while send() or cancel() is still on the stack.
     virtual void on_attempt_result(AttemptResult result) = 0;
+    // A connection has come up for an attempt, which may be withdrawn now, before its first byte.
+    virtual void on_connection(AttemptKey attempt) = 0;
     // Exactly once for every probe; may come while probe() is still on the stack.
     virtual void on_probe_result(ProbeResult result) = 0;
 };
--- a/tests/crossing_test.cpp
+++ b/tests/crossing_test.cpp
@@ -225,18 +225,23 @@
     }
 }
 
-// The client's end stands in its socket when the outcome is read that sends its request on.
+// The client's end stands in its socket, also behind more bytes than one turn reads, when the outcome is read
+// that sends its request on.
 TEST(HandOver, ALeavingThatIsNotYetReadIsNoticed) {
-    Stage s;
-    s.start();
-    const auto client = s.client();
-    client->say(look());
-    const auto wire = s.request().first;
-    wire->say(turned_away);
-    client->close();
-    settle(s);
-    EXPECT_TRUE(s.nothing_sent());
-    EXPECT_EQ(s.connections(), 1U);
+    for (const std::size_t behind : {0, 20000}) {
+        Stage s;
+        s.start();
+        const auto client = s.client();
+        client->say(look());
+        const auto wire = s.request().first;
+        wire->say(turned_away);
+        client->say(std::string(behind, 'x'));
+        client->close();
+        settle(s);
+        EXPECT_TRUE(s.nothing_sent()) << behind;
+        EXPECT_EQ(s.connections(), 1U) << behind;
+        s.host.reset();
+    }
 }
 
 // An upstream of which connections come up only when it is let: its queue of them is full till then.
@@ -323,6 +328,32 @@
     }
 }
 
+// The connection comes up in the turn in which the client's end is noticed: what is withdrawn then, before
+// the first byte, is not sent.
+TEST(HandOver, WhatIsWithdrawnAsItsConnectionComesUpIsNotSent) {
+    struct Sink : net::UpstreamEvents {
+        net::Upstreams* upstreams = nullptr;
+        std::optional<Outcome> outcome;
+        void on_attempt_result(net::AttemptResult result) override { outcome = result.outcome; }
+        void on_connection(net::AttemptKey) override {
+            upstreams->withdraw([](net::AttemptKey, UpstreamId) { return true; });
+        }
+        void on_probe_result(ProbeResult) override {}
+    };
+    Stage s(1);
+    Sink sink;
+    const net::Clock clock;
+    net::Upstreams upstreams(s.loop, clock, {std::chrono::seconds(5), {}, 8}, {}, sink);
+    sink.upstreams = &upstreams;
+    upstreams.set_address(1, s.upstreams[0]->address());
+    net::HttpRequest request(boost::beast::http::verb::get, "/api", 11);
+    const Time expires = clock.now() + std::chrono::seconds(15);
+    upstreams.send({1, 0}, 1, std::move(request), expires, expires);
+    s.until([&] { return sink.outcome && s.connections() == 1 && s.upstreams[0]->wires[0]->ended; });
+    EXPECT_EQ(sink.outcome, Outcome::moot);
+    EXPECT_TRUE(s.nothing_sent());
+}
+
 // The list takes an upstream away while a connection there comes up: the request goes to another at once.
 TEST(HandOver, AnUpstreamThatIsTakenAwayGetsNoRequestOverAConnectionThatComesUp) {
     for (const std::string how : {"leaving", "left", "not named"}) {
