--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -18,7 +18,9 @@
 // An empty line comes every 2 s on a watch that stands, and a call waits its turn no longer than this either.
 // What a silent watch misses counts as told 6 s after it fell silent: the list has to be here anew by then.
 constexpr auto silence = std::chrono::seconds(3);
-constexpr std::size_t line_most = 4 * body_most;  // a list of some two thousand upstreams
+// Against a line that never ends. Memory is taken as it comes: an upstream takes 150 bytes, indented twice
+// that.
+constexpr std::size_t line_most = 2 * 1024 * 1024;
 
 UpstreamState state_of(const std::string& word) {
     if (word == "active") return UpstreamState::ready;
--- a/tests/decide_test.cpp
+++ b/tests/decide_test.cpp
@@ -2,7 +2,10 @@
 // without it.
 #include <gtest/gtest.h>
 
+#include <cmath>
+#include <deque>
 #include <map>
+#include <random>
 #include <set>
 #include <stdexcept>
 
@@ -466,6 +469,124 @@
     expect_little_for_the_cold_one(ms(3990), 2, 4);  // no floor above their own part of the work
 }
 
+// Many balancers in simulated time, with uneven shares of the traffic, of which every request is answered in
+// 20 ms. One of ten upstreams restarts; they are told of it one after another, and some are new themselves.
+// What the told ones send it together in any fall span may exceed its budget by no more than chance.
+struct ColdFleet {
+    explicit ColdFleet(int balancers) : random(static_cast<std::uint32_t>(balancers)) {
+        s.zones = 1;
+        s.balancers = balancers;
+        s.cold_share = 0.15;
+        s.ramp_time = std::chrono::seconds(24);
+        std::vector<double> shares;
+        for (int rank = 0; rank < balancers; ++rank) {
+            rigs.push_back(begin(rank));
+            rigs.back()->fleet(10);
+            seen.push_back(0);
+            told_at.push_back(rigs.back()->now + std::chrono::hours(1));
+            shares.push_back(rank % 5 == 0 ? 4 : 1);
+        }
+        now = rigs[0]->now;
+        share = std::discrete_distribution<std::size_t>(shares.begin(), shares.end());
+    }
+
+    std::unique_ptr<Rig> begin(int rank) {
+        s.rank = rank;
+        return std::make_unique<Rig>(s, random());
+    }
+
+    void tell(std::size_t i, ListKind kind) {
+        std::vector<UpstreamEntry> entries{Rig::entry(1, 0, UpstreamState::ready, restarted)};
+        for (UpstreamId id = 2; kind == ListKind::cached && id <= 10; ++id) entries.push_back(Rig::entry(id));
+        rigs[i]->list(kind, entries);
+        told_at[i] = now;
+    }
+
+    void pass(Micros span, int requests_in_10_ms) {
+        for (const Time end = now + span; now < end;) {
+            now += ms(10);
+            for (std::size_t i = 0; i < rigs.size(); ++i) {
+                rigs[i]->run(now);
+                if (now >= news.at(i)) {
+                    news[i] = Time::max();
+                    if (reborn(i)) {
+                        rigs[i] = begin(static_cast<int>(i));
+                        rigs[i]->now = now;
+                        seen[i] = 0;
+                    }
+                    tell(i, reborn(i) ? ListKind::cached : ListKind::delta);
+                }
+            }
+            while (!out.empty() && out.front().at + ms(20) <= now) {
+                const Out o = out.front();
+                out.pop_front();
+                if (o.at >= told_at[o.rig] || !reborn(o.rig)) rigs[o.rig]->end(o.id, 0, Outcome::ok, ms(20));
+            }
+            for (int n = 0; n < requests_in_10_ms; ++n) rigs[share(random)]->request();
+            for (std::size_t i = 0; i < rigs.size(); ++i) {
+                auto& submits = rigs[i]->sink.submits;
+                for (; seen[i] < submits.size(); ++seen[i]) {
+                    out.push_back({now, i, submits[seen[i]].request});
+                    if (submits[seen[i]].upstream == 1 && now >= told_at[i]) sent.push_back(now);
+                }
+            }
+        }
+    }
+
+    bool reborn(std::size_t i) const { return i % 10 < reborn_in_ten; }
+
+    void restart(std::size_t reborn_of_ten) {
+        restarted = now;
+        reborn_in_ten = reborn_of_ten;
+        for (auto& at : news) at = now + ms(static_cast<long>(random() % 500));
+    }
+
+    void expect_no_more_than_chance(double capacity_per_s) const {
+        ASSERT_FALSE(sent.empty());
+        for (std::size_t first = 0, last = 0; last < sent.size(); ++last) {
+            while (sent[first] + s.fall_span < sent[last]) ++first;
+            const double age = std::chrono::duration<double>(sent[first] - restarted) / s.ramp_time;
+            const double warmth = std::min(1.0, s.cold_share + (1 - s.cold_share) * age);
+            const double budget = s.fall_multiple * warmth * capacity_per_s *
+                                  std::chrono::duration<double>(s.fall_span).count();
+            EXPECT_LE(static_cast<double>(last - first + 1), budget + 2 * std::sqrt(budget) + 2)
+                << s.balancers << " balancers, age " << age;
+        }
+    }
+
+    struct Out {
+        Time at;
+        std::size_t rig;
+        RequestId id;
+    };
+    Settings s = plain_settings();
+    std::mt19937 random;
+    std::vector<std::unique_ptr<Rig>> rigs;
+    std::vector<std::size_t> seen;
+    std::vector<Time> told_at;
+    std::vector<Time> news = std::vector<Time>(1024, Time::max());
+    std::discrete_distribution<std::size_t> share;
+    std::deque<Out> out;
+    std::vector<Time> sent;  // by told ones to the cold upstream
+    Time now{}, restarted{};
+    std::size_t reborn_in_ten = 0;
+};
+
+TEST(Cold, TheSumOverAllBalancersKeepsItsBudget) {
+    for (const int balancers : {20, 30, 300}) {
+        for (const std::size_t reborn : {0, 7}) {
+            for (const bool lull : {false, true}) {
+                ColdFleet fleet(balancers);
+                fleet.pass(std::chrono::seconds(12), 4);  // 40 a second each, of the 50 that they can do
+                fleet.restart(reborn);
+                fleet.pass(std::chrono::seconds(3), lull ? 0 : 4);  // in a lull budgets are saved up
+                fleet.pass(std::chrono::seconds(5), lull ? 5 : 4);
+                fleet.expect_no_more_than_chance(50);
+            }
+        }
+    }
+}
+
 // Guards against budgets that are each measured by the few upstreams that one of many balancers uses.
 TEST(Cold, OneOfManyBalancersThatUsesAFewMeasuresItsPartByAll) {
     Settings s = plain_settings();
--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -561,6 +561,53 @@
     }
 }
 
+// Far more upstreams than today's, and as many balancers, told by the file, as a whole list and on a watch
+// that indents: none is left out, and memory is taken by need.
+TEST(Discovery, ElevenHundredUpstreamsAndBalancersAreServed) {
+    Stage s;
+    s.config["settings"]["siblings"] = 1100;
+    s.config["settings"]["rank"] = 1099;
+    s.start();
+    s.until([&] { return !s.discovery.wires.empty() && has(s.discovery.wires[0]->in, "\r\n\r\n"); });
+    json news = s.list(9, true);
+    for (auto& host : news["hosts"]) host["health"] = "leaving";
+    for (int i = 2; i < 1100; ++i) {
+        news["hosts"].push_back(s.upstream(1));
+        news["hosts"].back()["host"] = "a-name-as-long-as-they-get-" + std::to_string(i);
+    }
+    s.discovery.wires[0]->say(watch_head + chunk(news.dump(8) + "\n"));
+    news = s.list(10, false);
+    news["hosts"] = {s.upstream(0, "left")};
+    s.discovery.wires[0]->say(chunk(news.dump() + "\n"));
+    const auto client = s.client();
+    client->say(look());
+    s.request().first->say(ok());
+    EXPECT_EQ(status(s.answer(*client)), 200);
+    s.discovery.wires[0]->close();
+    s.until([&] { return s.discovery.wires.size() == 2 && has(s.discovery.wires[1]->in, "\r\n\r\n"); });
+    EXPECT_TRUE(has(s.discovery.wires[1]->in, "index=10 "));  // all of it has been taken
+}
+
+// After a restart readiness waits for nothing: not for discovery, whatever it does, and not for a list.
+TEST(Ready, IsToldAtOnceWhateverDiscoveryDoes) {
+    for (const std::string discovery : {"down", "silent", "refusing"}) {
+        for (const bool known : {false, true}) {
+            Stage s;
+            if (!known) s.config["known"]["hosts"] = json::array();
+            if (discovery == "down") s.discovery.close();
+            s.start();
+            const auto client = s.client();
+            client->say("GET /ready HTTP/1.1\r\nHost: x\r\n\r\n");
+            if (discovery == "refusing") {
+                s.until([&] { return !s.discovery.wires.empty(); });
+                s.discovery.wires[0]->reset();
+            }
+            EXPECT_EQ(status(s.answer(*client)), 200) << discovery << known;
+            s.host.reset();
+        }
+    }
+}
+
 // However many calls were refused or broken, and though the next one is given up: a change that discovery has
 // from then on is asked for before it counts as told.
 TEST(Discovery, CallsThatFailedDoNotDelayTheNextBeyondWhatCountsAsTold) {
