Name the ways in which a call to discovery can end: unreachable and moved beside failed, silent

The module has to tell an unreachable discovery from one that is overbooked, and to hear of a new address. This adds the events; the host does not send the two new ones yet, and behaviour is unchanged.

--- a/include/flaxdoor/decide.h
+++ b/include/flaxdoor/decide.h
@@ -133,9 +133,15 @@
 // ------------------------------------------------------------------------------------------------ events
 
 enum class UpstreamState { gone, ready, draining };
-// The last two bring no news: a call failed or the subscription broke; the subscription, or the call for it,
-// has fallen silent and is over.
-enum class ListKind { delta, full, cached, failed, silent };
+// What discovery has said, or why it has not. The last four bring no entries and end the subscription:
+//   failed       the call was refused or broke off, or the subscription ended
+//   unreachable  no connection to discovery came up
+//   silent       the subscription, or the call for it, has said nothing for `watch_silence`
+//   moved        discovery is at another address from now on
+enum class ListKind { delta, full, cached, failed, unreachable, silent, moved };
+
+// A subscription that has said nothing for so long is taken for broken: discovery says something every 2 s.
+inline constexpr Micros watch_silence = std::chrono::seconds(3);
 
 struct UpstreamEntry {
     UpstreamId id = 0;
@@ -223,8 +229,7 @@
     Policy(Policy&&) noexcept;
     Policy& operator=(Policy&&) noexcept;
 
-    // The first list should be of kind `cached`. `failed` and `silent` ones carry no entries. Versions only
-    // grow.
+    // The first list should be of kind `cached`.
     void on_list(Time now, ListKind kind, const std::vector<UpstreamEntry>& entries,
                  std::uint64_t version = 0);
     void on_request(Time now, const Request& request);
--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -254,12 +254,12 @@
     // ------------------------------------------------------------------------------------ 1. registry
 
     void on_list(Time now, ListKind kind, const std::vector<UpstreamEntry>& entries) {
-        if (kind == ListKind::failed || kind == ListKind::silent) {
+        if (kind >= ListKind::failed) {
             if (!s_.must_ask_list) return;
             subscribed_ = false;
             // A gap that doubles once, of which a first silence waits out none, and a spread over the rest.
             const double most_us = us(std::min(ask_again, s_.ask_within));
-            const bool no_gap = kind == ListKind::silent && ask_gap_us_ == 0;
+            const bool no_gap = kind >= ListKind::silent && ask_gap_us_ == 0;
             ask_gap_us_ = std::clamp(2 * ask_gap_us_, ask_first * most_us, 2 * ask_first * most_us);
             const double gap_us = no_gap ? 0 : ask_gap_us_;
             const double span_us = std::min(ask_span_us(), most_us - gap_us);
--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -15,9 +15,6 @@
 
 using nlohmann::json;
 
-// An empty line comes every 2 s on a watch that stands, and a call waits its turn no longer than this either.
-// What a silent watch misses counts as told 6 s after it fell silent: the list has to be here anew by then.
-constexpr auto silence = std::chrono::seconds(3);
 // Against a line that never ends. Memory is taken as it comes: an upstream takes 150 bytes, indented twice
 // that.
 constexpr std::size_t line_most = 2 * 1024 * 1024;
@@ -132,7 +129,7 @@
     }
 
     void await_news() {
-        silence_.expires_after(silence);
+        silence_.expires_after(watch_silence);
         silence_.async_wait([self = shared_from_this()](error_code error) {
             if (error || self->over_ || self->silence_.expiry() > std::chrono::steady_clock::now()) return;
             // Guards against a loop that is behind: what has come in meanwhile is about to be read.
