Move random numbers, fading averages and token buckets into small tested headers

Share becomes FadingAverage, Bucket TokenBucket. No change of behaviour: the tests of the module pass as before.

--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -21,6 +21,10 @@
 #include <unordered_map>
 #include <utility>
 
+#include "util/decay.h"
+#include "util/random.h"
+#include "util/token_bucket.h"
+
 namespace flaxdoor {
 
 namespace {
@@ -97,55 +101,12 @@
     std::chrono::seconds(4);  // of its share that a tenant may save up (1 to 15 tried)
 constexpr Micros log_gap = std::chrono::seconds(1);
 
-double us(Micros span) { return static_cast<double>(span.count()); }
-Micros micros(double us) { return Micros(std::llround(us)); }
-
-// What is left of something learned at `then` by now.
-double faded(double value, Time then, Time now, double span_us) {
-    return value * std::exp(-us(now - then) / span_us);
-}
-
-// A smoothed share that is forgotten as time goes by.
-struct Share {
-    double value = 0;
-    Time at{};
-
-    double now(Time now, double span_us) const { return faded(value, at, now, span_us); }
-    void learn(double sample, double weight, Time when, double span_us) {
-        value = now(when, span_us);
-        value += weight * (sample - value);
-        at = when;
-    }
-};
-
-// SplitMix64: small, own, the same on every platform.
-class Random {
-public:
-    explicit Random(std::uint64_t seed) : state_(seed) {}
-    std::uint64_t next() {
-        std::uint64_t z = (state_ += 0x9e3779b97f4a7c15ULL);
-        z = (z ^ (z >> 30)) * 0xbf58476d1ce4e5b9ULL;
-        z = (z ^ (z >> 27)) * 0x94d049bb133111ebULL;
-        return z ^ (z >> 31);
-    }
-    std::size_t below(std::size_t n) { return static_cast<std::size_t>((next() >> 32) * n >> 32); }
-    double unit() { return static_cast<double>(next() >> 11) * 0x1.0p-53; }
-
-private:
-    std::uint64_t state_;
-};
-
-// A token bucket: filled as time goes by, up to `most`.
-struct Bucket {
-    double tokens = 0;
-    Time filled_at{};
-
-    bool fill(double gained, double most, Time now) {
-        tokens = std::min(most, tokens + gained);
-        filled_at = now;
-        return tokens >= 1;
-    }
-};
+using util::faded;
+using util::FadingAverage;
+using util::micros;
+using util::Random;
+using util::TokenBucket;
+using util::us;
 
 // What an upstream does for one class.
 struct Service {
@@ -172,7 +133,7 @@
     double idle_us = 0;          // smoothed latency of those that were alone of ours
     double limit = first_limit;  // of ours in flight: grows with answers, falls with full refusals and crowds
     bool limited = false;        // it has fallen once
-    Share full;                  // of attempts, those turned away as full
+    FadingAverage full;          // of attempts, those turned away as full
 
     int strikes = 0;
     bool out = false;    // taken out of ordinary traffic
@@ -184,8 +145,8 @@
     Time busy_since{};  // when in_flight last rose from zero
 
     std::optional<Time> cold_since;
-    Bucket cold_budget;      // requests that may go there now
-    double answer_rate = 0;  // our answers a second, decaying
+    TokenBucket cold_budget;  // requests that may go there now
+    double answer_rate = 0;   // our answers a second, decaying
     Time rate_at{};
 };
 
@@ -237,7 +198,7 @@
         : s_(settings), actions_(actions), random_(seed) {
         check_settings();
         classes_.resize(s_.classes.size());
-        shares_.resize(s_.tenants.size(), Bucket{0, now - share_span});
+        shares_.resize(s_.tenants.size(), TokenBucket{0, now - share_span});
         for (std::size_t c = 0; c < classes_.size(); ++c) update_t1(c);
         for (std::size_t f = 0; f < s_.report_fields.size(); ++f) {
             if (s_.report_fields[f] == ReportField::in_flight) in_flight_field_ = f;
@@ -1172,7 +1133,7 @@
         const double part = 1.0 / (s_.zones * std::max(1, s_.balancers / s_.zones));
         const double per_us = s_.tenants[tenant].quota_per_s * part / 1e6;
         if (per_us <= 0) return 1;
-        Bucket& share = shares_[tenant];
+        TokenBucket& share = shares_[tenant];
         const double gained = per_us * us(now - share.filled_at);
         if (!share.fill(gained, std::max(1.0, per_us * us(share_span)), now)) return s_.over_share_worth;
         share.tokens -= 1;
@@ -1281,9 +1242,9 @@
         Time at{};
     };
     std::vector<WarmRate> warm_rates_;  // by kind and side
-    Share refused_links_;               // of attempts to open a connection, those that failed
+    FadingAverage refused_links_;       // of attempts to open a connection, those that failed
     std::vector<ClassState> classes_;
-    std::vector<Bucket> shares_;  // requests that a tenant has left within its share
+    std::vector<TokenBucket> shares_;  // requests that a tenant has left within its share
     std::vector<Open> open_;
     std::vector<std::size_t> free_;
     std::unordered_map<RequestId, std::size_t> by_id_;
--- /dev/null
+++ b/tests/util_test.cpp
@@ -0,0 +1,57 @@
+// The helpers that the decision module counts with.
+#include <gtest/gtest.h>
+
+#include "util/decay.h"
+#include "util/random.h"
+#include "util/token_bucket.h"
+
+namespace flaxdoor::util {
+namespace {
+
+using std::chrono::seconds;
+
+TEST(Random, GivesTheNumbersOfSplitMix64) {
+    Random random(0);
+    EXPECT_EQ(random.next(), 0xe220a8397b1dcdafULL);  // the reference values for seed 0
+    EXPECT_EQ(random.next(), 0x6e789e6aa1b965f4ULL);
+}
+
+TEST(Random, StaysWithinItsBounds) {
+    Random random(7);
+    std::size_t seen[5] = {};
+    for (int i = 0; i < 5000; ++i) {
+        const std::size_t number = random.below(5);
+        ASSERT_LT(number, 5U);
+        ++seen[number];
+        const double unit = random.unit();
+        ASSERT_GE(unit, 0.0);
+        ASSERT_LT(unit, 1.0);
+    }
+    for (const std::size_t count : seen) EXPECT_NEAR(static_cast<double>(count), 1000, 150);
+}
+
+TEST(Decay, AnAverageFadesToAThirdInItsSpanAndMovesToItsSamples) {
+    FadingAverage average;
+    average.learn(1, 1, seconds(10), 1e6);
+    EXPECT_DOUBLE_EQ(average.now(seconds(10), 1e6), 1);
+    EXPECT_NEAR(average.now(seconds(11), 1e6), 0.3679, 1e-4);
+    average.learn(1, 0.5, seconds(11), 1e6);
+    EXPECT_NEAR(average.now(seconds(11), 1e6), 0.6839, 1e-4);
+}
+
+TEST(Decay, SpansBecomeNumbersAndAreRoundedBack) {
+    EXPECT_DOUBLE_EQ(us(seconds(2)), 2e6);
+    EXPECT_EQ(micros(1.6), Micros(2));
+}
+
+TEST(TokenBucket, FillsToItsMost) {
+    TokenBucket bucket;
+    EXPECT_FALSE(bucket.fill(0.5, 3, seconds(1)));
+    EXPECT_TRUE(bucket.fill(0.5, 3, seconds(2)));
+    EXPECT_TRUE(bucket.fill(100, 3, seconds(3)));
+    EXPECT_DOUBLE_EQ(bucket.tokens, 3);
+    EXPECT_EQ(bucket.filled_at, seconds(3));
+}
+
+}  // namespace
+}  // namespace flaxdoor::util
