--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -13,16 +13,17 @@
 // refusal. The rules that may never be broken stand in one function each:
 //   may_send (rules 1 and 2), may_get_new_work (rules 3 and 4), may_refuse (rule 2), close_idle (rule 5).
 // Every send passes `submit`.
-#include "flaxdoor/decide.h"
-
 #include <algorithm>
 #include <cmath>
-#include <stdexcept>
 #include <unordered_map>
 #include <utility>
 
+#include "flaxdoor/decide.h"
+#include "settings_check.h"
 #include "util/decay.h"
 #include "util/random.h"
+#include "util/slot_table.h"
+#include "util/timer_token.h"
 #include "util/token_bucket.h"
 
 namespace flaxdoor {
@@ -105,6 +106,7 @@
 using util::FadingAverage;
 using util::micros;
 using util::Random;
+using util::TimerToken;
 using util::TokenBucket;
 using util::us;
 
@@ -183,12 +185,8 @@
     double base_us = 0;  // latency without a crowd: the least that the usual one has been, creeping upwards
 };
 
-constexpr std::size_t none = static_cast<std::size_t>(-1);
-enum class TimerKind : std::uint64_t { wake = 1, ask = 2, beat = 3 };
-
-std::uint64_t token_of(TimerKind kind, std::uint64_t slot, std::uint32_t serial) {
-    return static_cast<std::uint64_t>(kind) << 60 | slot << 32 | serial;
-}
+constexpr std::size_t none = util::SlotTable<Open>::none;
+enum TimerKind : std::uint64_t { wake_timer = 1, ask_timer = 2, beat_timer = 3 };
 
 }  // namespace
 
@@ -196,7 +194,7 @@
 public:
     Impl(const Settings& settings, std::uint64_t seed, Time now, Actions& actions)
         : s_(settings), actions_(actions), random_(seed) {
-        check_settings();
+        check_settings(s_);
         classes_.resize(s_.classes.size());
         shares_.resize(s_.tenants.size(), TokenBucket{0, now - share_span});
         for (std::size_t c = 0; c < classes_.size(); ++c) update_t1(c);
@@ -286,7 +284,7 @@
         set_ask_timer(now + s_.ask_within);  // should no answer come at all
     }
 
-    void set_ask_timer(Time at) { actions_.set_timer(at, token_of(TimerKind::ask, 0, ++ask_serial_)); }
+    void set_ask_timer(Time at) { actions_.set_timer(at, TimerToken{ask_timer, 0, ++ask_serial_}.pack()); }
 
     // --------------------------------------------------------------------- 2. delay estimate and gate
 
@@ -633,15 +631,8 @@
             actions_.fail(request.id);
             return;
         }
-        if (by_id_.count(request.id) != 0) return;
-        std::size_t slot = open_.size();
-        if (free_.empty()) {
-            open_.emplace_back();
-        } else {
-            slot = free_.back();
-            free_.pop_back();
-        }
-        by_id_.emplace(request.id, slot);
+        if (open_.find(request.id) != none) return;
+        const std::size_t slot = open_.insert(request.id);
         Open& r = open_[slot];
         r.request = request;
         r.arrived_at = arrival(request, now);
@@ -680,7 +671,7 @@
 
     void beat(Time now) {
         beat_at_ = now + beat_gap();
-        actions_.set_timer(beat_at_, token_of(TimerKind::beat, 0, ++beat_serial_));
+        actions_.set_timer(beat_at_, TimerToken{beat_timer, 0, ++beat_serial_}.pack());
     }
 
     // Originals skip the gate.
@@ -781,7 +772,7 @@
         ++r.round;
         if (at + s_.tick >= r.request.deadline) return finish(slot);
         if (at <= now) return wake(slot, now);
-        actions_.set_timer(at, token_of(TimerKind::wake, slot, ++r.wake));
+        actions_.set_timer(at, TimerToken{wake_timer, slot, ++r.wake}.pack());
     }
 
     void wake(std::size_t slot, Time now) {
@@ -794,7 +785,7 @@
     }
 
     void on_attempt_end(Time now, const AttemptEnd& end) {
-        const std::size_t slot = find_open(end.request);
+        const std::size_t slot = open_.find(end.request);
         if (slot == none) return;
         Open& r = open_[slot];
         if (end.attempt < 0 || static_cast<std::size_t>(end.attempt) >= r.attempts.size()) return;
@@ -847,7 +838,7 @@
     }
 
     void on_client_gone(Time, RequestId id) {
-        const std::size_t slot = find_open(id);
+        const std::size_t slot = open_.find(id);
         if (slot == none) return;
         open_[slot].done = true;
         cancel_in_flight(slot);
@@ -864,33 +855,18 @@
     }
 
     void on_timer(Time now, std::uint64_t token) {
-        const auto kind = static_cast<TimerKind>(token >> 60);
-        const auto serial = static_cast<std::uint32_t>(token);
-        if (kind == TimerKind::ask) {
-            if (serial == ask_serial_) ask(now);
-            return;
-        }
-        if (kind == TimerKind::beat) {
-            if (serial == beat_serial_) beat(now);
-            return;
-        }
-        const std::size_t slot = token >> 32 & 0x0fffffffU;
-        if (kind != TimerKind::wake || slot >= open_.size()) return;
-        Open& r = open_[slot];
-        if (!r.done && r.wake == serial) wake(slot, now);
+        const auto [kind, slot, serial] = TimerToken::unpack(token);
+        if (kind == ask_timer && serial == ask_serial_) ask(now);
+        if (kind == beat_timer && serial == beat_serial_) beat(now);
+        if (kind != wake_timer || slot >= open_.size()) return;
+        if (!open_[slot].done && open_[slot].wake == serial) wake(slot, now);
     }
 
     void release_if_over(std::size_t slot) {
         Open& r = open_[slot];
         if (!r.done || r.in_flight > 0) return;
-        by_id_.erase(r.request.id);
         ++r.wake;  // timers still out no longer count
-        free_.push_back(slot);
-    }
-
-    std::size_t find_open(RequestId id) const {
-        const auto found = by_id_.find(id);
-        return found == by_id_.end() ? none : found->second;
+        open_.erase(r.request.id);
     }
 
     std::size_t class_of(const Open& r) const { return static_cast<std::size_t>(r.request.class_index); }
@@ -1182,29 +1158,6 @@
     }
 
 private:
-    void check_settings() const {
-        const auto require = [](bool holds, const char* what) {
-            if (!holds) throw std::invalid_argument(std::string("settings: ") + what);
-        };
-        require(s_.balancers >= 1, "balancers must be at least 1");
-        require(s_.rank >= 0 && s_.rank < s_.balancers, "rank must be below balancers");
-        require(s_.zones >= 1 && s_.zone >= 0 && s_.zone < s_.zones, "zone must be one of zones");
-        require(s_.tick > Micros{0}, "tick must be positive");
-        require(!s_.classes.empty(), "classes must not be empty");
-        require(s_.max_attempts >= 1, "max_attempts must be at least 1");
-        require(s_.cold_share > 0 && s_.cold_share <= 1, "cold_share must be above 0 and at most 1");
-        require(s_.drain_close >= Micros{0}, "drain_close must not be negative");
-        require(s_.ramp_time >= Micros{0}, "ramp_time must not be negative");
-        require(s_.fall_span >= Micros{0}, "fall_span must not be negative");
-        require(s_.fall_span == Micros{0} || s_.fall_multiple > 0, "fall_multiple must be positive");
-        require(!s_.must_ask_list || s_.ask_within > Micros{0}, "ask_within must be positive");
-        for (const auto& c : s_.classes) {
-            require(c.aim > Micros{0}, "aim must be positive");
-            require(c.deadline >= c.aim, "deadline must not be below aim");
-            require(c.effect != Effect::keyed || c.window > Micros{0}, "window must be positive");
-        }
-    }
-
     const Settings s_;
     Actions& actions_;
     Random random_;
@@ -1245,9 +1198,7 @@
     FadingAverage refused_links_;       // of attempts to open a connection, those that failed
     std::vector<ClassState> classes_;
     std::vector<TokenBucket> shares_;  // requests that a tenant has left within its share
-    std::vector<Open> open_;
-    std::vector<std::size_t> free_;
-    std::unordered_map<RequestId, std::size_t> by_id_;
+    util::SlotTable<Open> open_;
     std::vector<std::size_t> home_, away_;  // scratch of fill_pool
     std::vector<double> carries_;           // scratch of draw_zone
     std::optional<Time> noted_;
--- a/src/util/decay.h
+++ b/src/util/decay.h
@@ -31,4 +31,17 @@
     }
 };
 
+// A sum of amounts that each fade towards zero.
+struct FadingSum {
+    double value = 0;  // as it was at `at`
+    Micros at{};
+
+    double now(Micros when, double span_us) const { return faded(value, at, when, span_us); }
+
+    void add(double amount, Micros when, double span_us) {
+        value = now(when, span_us) + amount;
+        at = when;
+    }
+};
+
 }  // namespace flaxdoor::util
--- a/tests/util_test.cpp
+++ b/tests/util_test.cpp
@@ -3,6 +3,8 @@
 
 #include "util/decay.h"
 #include "util/random.h"
+#include "util/slot_table.h"
+#include "util/timer_token.h"
 #include "util/token_bucket.h"
 
 namespace flaxdoor::util {
@@ -39,6 +41,35 @@
     EXPECT_NEAR(average.now(seconds(11), 1e6), 0.6839, 1e-4);
 }
 
+TEST(Decay, ASumFadesToAThirdInItsSpanAndTakesAmountsWhole) {
+    FadingSum sum;
+    sum.add(2, seconds(10), 1e6);
+    sum.add(1, seconds(11), 1e6);
+    EXPECT_NEAR(sum.now(seconds(11), 1e6), 1.7358, 1e-4);
+}
+
+TEST(SlotTable, SlotsAreUsedAgainAndRecordsStayAsTheyWereLeft) {
+    SlotTable<int> table;
+    const std::size_t first = table.insert(70);
+    table[first] = 5;
+    EXPECT_EQ(table.find(70), first);
+    EXPECT_EQ(table.find(71), SlotTable<int>::none);
+    table.erase(70);
+    table.erase(70);
+    EXPECT_EQ(table.find(70), SlotTable<int>::none);
+    EXPECT_EQ(table.insert(71), first);
+    EXPECT_EQ(table[first], 5);
+    EXPECT_NE(table.insert(72), first);
+    EXPECT_EQ(table.size(), 2U);
+}
+
+TEST(TimerToken, UnpacksToWhatWasPacked) {
+    const auto [kind, slot, serial] = TimerToken::unpack(TimerToken{3, 0x0ffffff1, 0xfffffff2U}.pack());
+    EXPECT_EQ(kind, 3U);
+    EXPECT_EQ(slot, 0x0ffffff1U);
+    EXPECT_EQ(serial, 0xfffffff2U);
+}
+
 TEST(Decay, SpansBecomeNumbersAndAreRoundedBack) {
     EXPECT_DOUBLE_EQ(us(seconds(2)), 2e6);
     EXPECT_EQ(micros(1.6), Micros(2));
