--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -6,11 +6,9 @@
 //   on_attempt_end  -> a failure waits out its gap (T1, doubling), then send_retry: a fresh pair without the
 //                      failed upstream, better first, then the others of the zone; each passes with chance p
 //   p               -> falls from 1 to 0 as the upstream's smoothed delay rises from 0.2 T1 to T1
-// Three exceptions shape what one of many balancers does: it spills what a crowded zone is too small for by
-// the list (draw_zone), it places its work in a share of the zone (share_size), and all of its attempts
-// together have a room, which may be less than one (learn_room, room_used). Sections, in order: 1 registry, 2
-// delay estimate and gate, 3 choosing an upstream, 4 attempt life and retries, 5 health, 6 cold budget, 7
-// refusal. The rules that may never be broken stand in one function each:
+// One of many balancers spills what a crowded zone is too small for by the list (draw_zone), places its work
+// in a share of the zone (share_size), and bounds its attempts, even to less than one (learn_room,
+// room_used). The rules that may never be broken stand in one function each:
 //   may_send (rules 1 and 2), may_get_new_work (rules 3 and 4), may_refuse (rule 2), close_idle (rule 5).
 // Every send passes `submit`.
 #include <algorithm>
@@ -49,13 +47,10 @@
 constexpr double first_limit = 2;          // before anything is known of it (1 tried: no better)
 constexpr double limit_growth = 1.0 / 32;  // step up by a timely answer at the limit, down by a crowd's
 // What all of our attempts may be, cut only in a jam.
-// Cut from so many base latencies (1.6 and 1.8 tried: jams clear better, busy days are refused; 2.3: jams
-// stay).
-constexpr double most_crowding = 2;
+constexpr double most_crowding = 2;  // base latencies from which it is cut (1.8: refuses; 2.3: jams stay)
 constexpr double crowding_weight = 1.0 / 32;  // least of an answer in that (1/16: false cuts; 1/64: late)
 constexpr double crowding_cap = 4;            // the most that one counts for (3, 6 tried)
-constexpr double full_crowding = 6;   // what a full refusal or a time-out counts for (3, 4 tried: jams
-                                      //   stay; 15: quiet days refused; 4 for time-outs: cut late)
+constexpr double full_crowding = 6;   // what a full refusal or a time-out counts for (4: late; 15: refuses)
 constexpr double room_cut = 0.7;      // what a cut leaves (0.5, 0.8 tried)
 constexpr double room_growth = 0.25;  // step up, shared as below (0.12, 0.5, 1 tried)
 // Attempts an upstream, shared among balancers: the room at the start (1, 3 tried), and the least that a jam
@@ -65,16 +60,13 @@
 constexpr double crowd = 3;         // an answer that took so many base latencies comes from a crowd (2 tried)
 constexpr double base_answers = 8;  // of a class, after which its base latency is known
 constexpr double base_guess = 1.0 / 3;  // of the aim: base latency of a class before it is known
-constexpr double base_creep =
-    3e-4;  // rise of the base latency by an answer (1e-4, 1e-3 tried: 1e-3 learns jams)
+constexpr double base_creep = 3e-4;     // rise of the base latency by an answer (1e-3 learns jams)
 // Who is sent at all: shares of the aim or of the time between a lone latency and the aim.
 constexpr double aim_margin = 0.5;   // of that time, what waiting may use (0.35, 0.7 tried)
 constexpr double most_lone = 0.75;   // of the aim, what a lone latency may take (0.5 tried: starves)
 constexpr double least_slope = 0.5;  // flattest line of latency over our own load, as a share of proportion
-constexpr double least_patience =
-    0.5;  // of a denser class's aim, what others may use at least (0.25, 0.75 tried)
-constexpr std::size_t at_once =
-    2;  // first attempts after which no gap is waited out if they never ran (1 tried)
+constexpr double least_patience = 0.5;  // of a denser class's aim, for others at least (0.25, 0.75 tried)
+constexpr std::size_t at_once = 2;      // first attempts retried without a gap if they never ran (1 tried)
 // A balancer's share of a zone.
 constexpr double hearings = 8;                 // answers that it should get from each before it forgets
 constexpr double coverage = 2;                 // shares that an upstream should be in at least
@@ -97,13 +89,13 @@
 // From the end of a failed call to the next, at most: a change counts as told 6 s after it could be heard, of
 // which the host may wait 3 s for a call that says nothing.
 constexpr Micros ask_again = std::chrono::milliseconds(2500);
-constexpr double ask_first = 0.2;  // of that, the first gap
-constexpr Micros share_span =
-    std::chrono::seconds(4);  // of its share that a tenant may save up (1 to 15 tried)
+constexpr double ask_first = 0.2;                       // of that, the first gap
+constexpr Micros share_span = std::chrono::seconds(4);  // of its share, what a tenant may save up
 constexpr Micros log_gap = std::chrono::seconds(1);
 
 using util::faded;
 using util::FadingAverage;
+using util::FadingSum;
 using util::micros;
 using util::Random;
 using util::TimerToken;
@@ -148,8 +140,7 @@
 
     std::optional<Time> cold_since;
     TokenBucket cold_budget;  // requests that may go there now
-    double answer_rate = 0;   // our answers a second, decaying
-    Time rate_at{};
+    FadingSum answer_rate;    // our answers a second
 };
 
 struct Attempt {
@@ -486,7 +477,7 @@
     // so that each upstream is in as many as the next. With few balancers the share is the zone.
     std::size_t share_size(std::size_t ring) const {
         const double covering = coverage * ring * s_.zones / s_.balancers;
-        return std::max(least_share, static_cast<std::size_t>(std::max(answers_ / hearings, covering)));
+        return std::max(least_share, static_cast<std::size_t>(std::max(answers_.value / hearings, covering)));
     }
 
     // Keeps the rings to what is listed.
@@ -806,8 +797,7 @@
         const std::size_t c = class_of(r);
         if (end.outcome == Outcome::timeout) learn_usual(c, 2 * us(end.latency));
         if (end.outcome == Outcome::ok) {
-            answers_ = faded(answers_, answer_at_, now, decay_us()) + 1;
-            answer_at_ = now;
+            answers_.add(1, now, decay_us());
             learn_usual(c, us(end.latency));
             learn_latency(c, us(end.latency));
             learn_capacity(u, us(end.latency), a.ours, c);
@@ -887,7 +877,7 @@
         switch (outcome) {
             case Outcome::ok:
                 u.answered_at = now;
-                learn_rate(u, now);
+                u.answer_rate.add(1e6 / rate_window_us_, now, rate_window_us_);
                 u.strikes = 0;
                 if (u.out) come_back(u, now);
                 u.died = false;
@@ -1005,7 +995,7 @@
     void begin_cold(Upstream& u, Time since, Time now) {
         u.cold_since = since;
         u.cold_budget = {random_.unit(), now};
-        u.answer_rate = 0;
+        u.answer_rate = {};
     }
 
     // Share of its capacity that an upstream has at least by now; 1 when warm.
@@ -1037,15 +1027,6 @@
 
     void spend_cold_budget(Upstream& u) { u.cold_budget.tokens -= 1; }
 
-    void learn_rate(Upstream& u, Time now) {
-        u.answer_rate = rate_now(u, now) + 1e6 / rate_window_us_;
-        u.rate_at = now;
-    }
-
-    double rate_now(const Upstream& u, Time now) const {
-        return faded(u.answer_rate, u.rate_at, now, rate_window_us_);
-    }
-
     // Answers a second that a warm upstream gives this balancer: those of the same kind in the zone, or in
     // the others, else all there. Guards against balancers that each use a few: those that one never uses
     // count as well, or all budgets together are as many times too large. Counted anew a few times in a fall
@@ -1060,7 +1041,7 @@
         for (const auto& u : upstreams_) {
             if (u.entry.state != UpstreamState::ready || u.out || warmth(u, now) < 1) continue;
             if (in_home_zone(u) != in_home_zone(like)) continue;
-            const double rate = rate_now(u, now);
+            const double rate = u.answer_rate.now(now, rate_window_us_);
             const int same = u.entry.kind == like.entry.kind;
             sum[same] += rate;
             ++count[same];
@@ -1179,8 +1160,7 @@
         1;  // smoothed delay of the own zone, as a share of the aim; at first the list decides
     std::vector<std::size_t> busy_;  // those with attempts of ours in flight
     int out_ = 0;                    // how many are put out
-    double answers_ = 0;             // answers within what is remembered, decaying
-    Time answer_at_{};
+    FadingSum answers_;              // answers within what is remembered
 
     int ready_ = 0;        // upstreams listed and not put out
     int in_flight_ = 0;    // attempts of ours at fit upstreams at the last choice
