Close idle client connections for new ones only once they have been idle for 2 s

Cause: at the limit of connections Clients::make_room closed the connection that had been idle longest, however short that was.

Change: make_room leaves connections idle for less than min_idle_before_close (2 s and a margin of 50 ms, as the client counts from the arrival of its answer) alone. While there is no room, the listener is looked at every 20 ms, and at once when a connection closes. Constants and members touched have the usual names now.

Tests: new tests/client_limits_test.cpp.

--- a/src/net/clients.cpp
+++ b/src/net/clients.cpp
@@ -8,16 +8,27 @@
 
 namespace {
 
+using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-constexpr auto accept_pause = std::chrono::milliseconds(20);  // after one that failed for want of descriptors
-constexpr Micros first_most = std::chrono::milliseconds(2300);  // from connecting to the first whole request
-constexpr Micros fresh_span = std::chrono::milliseconds(100);   //   within this it most likely comes
-constexpr Micros request_most = seconds(10);                    // from a request's first byte to its last
-constexpr Micros answer_most = seconds(10);                     // to take an answer, and to end a connection
-constexpr Micros idle_most = seconds(300);                      // between requests
-constexpr auto sweep_gap = std::chrono::milliseconds(250);      // between looks for those overdue
-constexpr std::uint64_t budget_most_ms = 60 * 1000;             // more than any client waits
+// A connection with no request open on it must be left open for 2 s. The client counts them from when the
+// answer arrived, a little later than this side does.
+constexpr Micros min_idle_before_close = milliseconds(2050);
+// A peer that sends no request must get an error or a close within 3 s of connecting. These three add up to
+// less: the wait in the backlog while there is no room, the time given to the first whole request, and the
+// interval between two sweeps.
+constexpr Micros backlog_timeout = milliseconds(250);
+constexpr Micros first_request_timeout = milliseconds(2300);
+constexpr auto sweep_interval = milliseconds(250);
+// Between two looks for room for those in the backlog, and after an accept that failed for want of
+// descriptors.
+constexpr auto accept_retry_delay = milliseconds(20);
+// The first request of a new connection most likely comes within this.
+constexpr Micros fresh_span = milliseconds(100);
+constexpr Micros request_timeout = seconds(10);      // from a request's first byte to its last
+constexpr Micros answer_timeout = seconds(10);       // to take an answer, and to end a connection
+constexpr Micros idle_timeout = seconds(300);        // between requests
+constexpr std::uint64_t budget_most_ms = 60 * 1000;  // more than any client waits
 
 template <typename Number>
 bool parse_number(beast::string_view text, Number& value, int base = 10) {
@@ -115,10 +126,12 @@
         read();
     }
 
-    // Between requests, with nothing on its way here that could be told.
+    // Between requests, and nothing that has arrived says otherwise.
     bool idle() {
         return state_ == State::reading && buffer_.size() == 0 && !parser_->got_some() && quiet(socket_);
     }
+    // Idle for so long that it may be closed to make room.
+    bool may_be_closed(Time now) { return now - since_ >= min_idle_before_close && idle(); }
     Time since() const { return since_; }
     // So new that its first request is most likely on its way.
     bool fresh() const { return !asked_ && owner_.clock_.now() - opened_ < fresh_span; }
@@ -127,10 +140,10 @@
         switch (state_) {
             case State::reading:
                 // Guards against peers that hold a connection and never send a request.
-                if (!asked_) return now - opened_ > first_most;
-                return now - since_ > (idle() ? idle_most : request_most);
+                if (!asked_) return now - opened_ > first_request_timeout;
+                return now - since_ > (idle() ? idle_timeout : request_timeout);
             case State::waiting: return false;
-            default: return now - since_ > answer_most;
+            default: return now - since_ > answer_timeout;
         }
     }
 
@@ -271,7 +284,6 @@
             return;
         }
         expect_request();
-        owner_.accept_soon();  // this one can make room now
         if (buffer_.size() == 0) return;
         // Not from here: this may be under the call that brought the last request.
         asio::post(owner_.loop_, [self = shared_from_this()] {
@@ -314,15 +326,16 @@
     bool closed_ = false;
 };
 
-Clients::Clients(asio::io_context& loop, const Clock& clock, const Settings& settings, std::size_t most,
-                 ClientEvents& events)
+Clients::Clients(asio::io_context& loop, const Clock& clock, const Settings& settings,
+                 std::size_t max_connections, ClientEvents& events)
     : loop_(loop),
       clock_(clock),
       settings_(settings),
-      most_(most),
+      max_connections_(max_connections),
       events_(events),
       acceptor_(loop),
-      retry_(loop),
+      accept_retry_(loop),
+      room_check_(loop),
       sweep_(loop) {}
 
 Clients::~Clients() { stop(); }
@@ -350,9 +363,12 @@
 }
 
 // Room is made only for a connection that has come: one that is closed ahead of need may have a request on
-// its way. Returns whether one has been taken, so that there may be more.
+// its way.
 bool Clients::take_connection() {
-    if (connections_.size() >= most_ && !make_room()) return false;  // goes on when one closes or is idle
+    if (connections_.size() >= max_connections_ && !make_room()) {
+        wait_for_room();
+        return false;
+    }
     tcp::socket socket(loop_);
     error_code error;
     acceptor_.accept(socket, error);
@@ -374,17 +390,54 @@
 
 // Guards against spinning when descriptors run out: the listener stays ready, and each try fails at once.
 void Clients::accept_later() {
-    retry_.expires_after(accept_pause);
-    retry_.async_wait([this](error_code error) {
+    accept_retry_.expires_after(accept_retry_delay);
+    accept_retry_.async_wait([this](error_code error) {
         if (!error) accept();
     });
 }
 
-// The connection that has been idle longest makes room, if there is one.
+// Guards against spinning while there is no room: the listener stays ready.
+void Clients::wait_for_room() {
+    if (full_since_) return;
+    full_since_ = clock_.now();
+    check_for_room();
+}
+
+void Clients::check_for_room() {
+    room_check_.expires_after(accept_retry_delay);
+    room_check_.async_wait([this](error_code error) {
+        if (error) return;
+        if (accepting_) {  // since the last look, and nobody has come: the backlog is empty
+            full_since_.reset();
+        } else if (clock_.now() - *full_since_ >= backlog_timeout) {
+            shut_backlog();
+        } else {
+            accept();
+            check_for_room();
+        }
+    });
+}
+
+// Guards against clients that wait in vain, and against peers that are neither answered nor closed: a client
+// whose connection is shut at once can try elsewhere. What has arrived on these connections stays unread: a
+// request that isn't taken isn't lost.
+void Clients::shut_backlog() {
+    full_since_.reset();
+    for (int i = 0; i < asio::socket_base::max_listen_connections; ++i) {
+        tcp::socket unread(loop_);
+        error_code error;
+        acceptor_.accept(unread, error);
+        if (error) break;
+    }
+    accept();
+}
+
 bool Clients::make_room() {
+    const Time now = clock_.now();
     Connection* oldest = nullptr;
     for (const auto& [connection, held] : connections_) {
-        if (connection->idle() && (!oldest || connection->since() < oldest->since())) oldest = connection;
+        if (oldest && connection->since() >= oldest->since()) continue;
+        if (connection->may_be_closed(now)) oldest = connection;
     }
     if (!oldest) return false;
     const auto held = connections_.at(oldest);
@@ -393,7 +446,7 @@
 }
 
 void Clients::sweep() {
-    sweep_.expires_after(sweep_gap);
+    sweep_.expires_after(sweep_interval);
     sweep_.async_wait([this](error_code error) {
         if (error) return;
         std::vector<std::shared_ptr<Connection>> overdue;
@@ -435,17 +488,14 @@
 
 void Clients::closed(Connection* connection) {
     connections_.erase(connection);
-    accept_soon();
-}
-
-void Clients::accept_soon() {
-    if (!accepting_) asio::post(loop_, [this] { accept(); });
+    accept();
 }
 
 void Clients::stop() {
     error_code ignored;
     acceptor_.close(ignored);
-    retry_.cancel();
+    accept_retry_.cancel();
+    room_check_.cancel();
     sweep_.cancel();
     const auto held = std::move(connections_);
     connections_.clear();
--- a/src/net/clients.h
+++ b/src/net/clients.h
@@ -32,9 +32,11 @@
 
 class Clients {
 public:
-    // `most` connections are held at once.
-    Clients(boost::asio::io_context& loop, const Clock& clock, const Settings& settings, std::size_t most,
-            ClientEvents& events);
+    // At most `max_connections` are held at once. Beyond that, the connection that has been idle longest is
+    // closed for a new one, if it has been idle long enough to be closed. Where there is none, new
+    // connections wait in the listener's backlog for a short time and are then shut unread.
+    Clients(boost::asio::io_context& loop, const Clock& clock, const Settings& settings,
+            std::size_t max_connections, ClientEvents& events);
     ~Clients();
 
     // Throws boost::system::system_error when the address can't be listened on.
@@ -54,26 +56,35 @@
     class Connection;
     friend class Connection;
 
+    // Waits for the next connection in the backlog, and takes it.
     void accept();
+    // Returns whether a connection has been taken, so that there may be more in the backlog.
     bool take_connection();
-    void accept_soon();
     void accept_later();
+    // Those in the backlog wait until there is room, or until their time limit is over.
+    void wait_for_room();
+    void check_for_room();
+    void shut_backlog();
+    // Closes the connection that has been idle longest, if it may be closed. Returns whether it did.
     bool make_room();
+    // Closes the connections that have been in their state for too long, at regular intervals.
     void sweep();
     void closed(Connection* connection);
 
     boost::asio::io_context& loop_;
     const Clock& clock_;
     const Settings& settings_;
-    const std::size_t most_;
+    const std::size_t max_connections_;
     ClientEvents& events_;
     boost::asio::ip::tcp::acceptor acceptor_;
-    boost::asio::steady_timer retry_;
+    boost::asio::steady_timer accept_retry_;
+    boost::asio::steady_timer room_check_;
     boost::asio::steady_timer sweep_;
     std::unordered_map<Connection*, std::shared_ptr<Connection>> connections_;
     std::unordered_map<RequestId, Connection*> waiting_;
     RequestId last_id_ = 0;
-    bool accepting_ = false;  // an accept is under way
+    bool accepting_ = false;          // the listener is waited for
+    std::optional<Time> full_since_;  // while there is no room for connections in the backlog
     bool winding_down_ = false;
 };
 
--- /dev/null
+++ b/tests/client_limits_test.cpp
@@ -0,0 +1,250 @@
+// Idle clients at the limit of connections: which of them may be closed for a new client, what becomes of new
+// clients while none may, and that descriptors are kept back for upstreams and discovery.
+#include <gtest/gtest.h>
+#include <sys/resource.h>
+
+#include <algorithm>
+#include <chrono>
+#include <filesystem>
+#include <iterator>
+#include <sstream>
+
+#include "peers.h"
+
+namespace flaxdoor::test {
+namespace {
+
+using std::chrono::seconds;
+using Steady = std::chrono::steady_clock;
+
+// The balancer keeps 32 descriptors for itself; clients and upstreams have half of the others each.
+constexpr std::size_t sockets = 44;
+constexpr std::size_t client_connections = 6;
+// A connection that has been idle for less must not be closed.
+constexpr auto min_idle = seconds(2);
+// A peer that sends no request is answered or closed within this.
+constexpr auto peer_deadline = seconds(3);
+
+using Wires = std::vector<std::shared_ptr<Wire>>;
+
+// Clients that have had an answer and keep their connections.
+Wires idle_clients(Stage& s, std::size_t count) {
+    Wires clients;
+    for (std::size_t i = 0; i < count; ++i) {
+        clients.push_back(s.client());
+        clients.back()->say(ready());
+        EXPECT_EQ(status(s.answer(*clients.back())), 200);
+    }
+    return clients;
+}
+
+Wires silent_clients(Stage& s, std::size_t count) {
+    Wires clients;
+    for (std::size_t i = 0; i < count; ++i) clients.push_back(s.client());
+    return clients;
+}
+
+bool all_ended(const Wires& wires) {
+    return std::all_of(wires.begin(), wires.end(), [](const auto& wire) { return wire->ended; });
+}
+
+bool none_ended(const Wires& wires) {
+    return std::none_of(wires.begin(), wires.end(), [](const auto& wire) { return wire->ended; });
+}
+
+void expect_served(Stage& s, const Wires& clients) {
+    for (const auto& client : clients) {
+        client->say(ready());
+        EXPECT_EQ(status(s.answer(*client)), 200);
+    }
+}
+
+std::size_t open_descriptors() {
+    const std::filesystem::directory_iterator descriptors("/proc/self/fd");
+    return static_cast<std::size_t>(std::distance(begin(descriptors), end(descriptors)));
+}
+
+std::string chunk(const std::string& text) {
+    std::ostringstream size;
+    size << std::hex << text.size();
+    return size.str() + "\r\n" + text + "\r\n";
+}
+
+// Lowers the limit of descriptors that the process reads, for as long as it lives.
+class LoweredDescriptorLimit {
+public:
+    explicit LoweredDescriptorLimit(rlim_t limit) {
+        EXPECT_EQ(::getrlimit(RLIMIT_NOFILE, &before_), 0);
+        rlimit lowered = before_;
+        lowered.rlim_cur = limit;
+        EXPECT_EQ(::setrlimit(RLIMIT_NOFILE, &lowered), 0);
+    }
+    ~LoweredDescriptorLimit() { ::setrlimit(RLIMIT_NOFILE, &before_); }
+    LoweredDescriptorLimit(const LoweredDescriptorLimit&) = delete;
+    LoweredDescriptorLimit& operator=(const LoweredDescriptorLimit&) = delete;
+
+private:
+    rlimit before_{};
+};
+
+// Of two idle connections only the one that has been idle for 2 s makes room. The other one does so when its
+// turn has come.
+TEST(ClientLimits, OnlyAConnectionIdleForTwoSecondsMakesRoom) {
+    Stage s(1);
+    s.config["limits"]["sockets"] = 36;  // two of them for clients
+    s.start();
+    const auto older = s.client(), younger = s.client();
+    const auto older_not_before = Steady::now();
+    older->say(ready());
+    EXPECT_EQ(status(s.answer(*older)), 200);
+    const std::string halves[] = {ready().substr(0, 10), ready().substr(10)};
+    younger->say(halves[0]);
+
+    const auto shut = s.client();
+    s.until([&] { return shut->ended || older->ended; });
+    EXPECT_FALSE(older->ended);
+
+    const auto younger_not_before = Steady::now();
+    younger->say(halves[1]);
+    EXPECT_EQ(status(s.answer(*younger)), 200);
+    const auto newcomer = s.persistent_client(ready());
+    EXPECT_EQ(status(newcomer.second), 200);
+    s.until([&] { return older->ended; });
+    EXPECT_GE(older->ended_at - older_not_before, min_idle);
+    EXPECT_FALSE(younger->ended);
+
+    const auto another = s.persistent_client(ready());
+    EXPECT_EQ(status(another.second), 200);
+    s.until([&] { return younger->ended; });
+    EXPECT_GE(younger->ended_at - younger_not_before, min_idle);
+    EXPECT_FALSE(newcomer.first->ended);
+}
+
+// A client that comes when one has been idle for long enough is served on its first connection.
+TEST(ClientLimits, AConnectionIdleForLongerMakesRoomAtOnce) {
+    Stage s(1);
+    s.config["limits"]["sockets"] = sockets;
+    s.start();
+    const auto idle = idle_clients(s, client_connections);
+    const auto idle_since = Steady::now();
+    s.until([&] { return Steady::now() - idle_since > min_idle + std::chrono::milliseconds(200); });
+    EXPECT_TRUE(none_ended(idle));
+    const auto newcomer = s.client();
+    newcomer->say(look());
+    s.request().first->say(ok());
+    EXPECT_EQ(status(s.answer(*newcomer)), 200);
+    s.until([&] { return idle.front()->ended; });
+    expect_served(s, Wires(idle.begin() + 1, idle.end()));
+}
+
+// One new client takes the place of one connection, also where several have been idle for long enough by the
+// time at which it is let in.
+TEST(ClientLimits, ANewClientThatWaitsClosesOneConnection) {
+    Stage s(1);
+    s.config["limits"]["sockets"] = sockets;
+    s.start();
+    Wires idle = silent_clients(s, client_connections);
+    expect_served(s, idle);
+    EXPECT_EQ(status(s.persistent_client(ready()).second), 200);
+    s.until([&] { return !none_ended(idle); });
+    std::erase_if(idle, [](const auto& client) { return client->ended; });
+    EXPECT_EQ(idle.size(), client_connections - 1);
+    expect_served(s, idle);
+}
+
+// While none may make room, new connections are shut in time, and the balancer rests in between.
+TEST(ClientLimits, NewClientsAreShutInTimeWithoutSpinning) {
+    constexpr std::size_t most_handlers = 200;
+    Stage s(1);
+    s.config["limits"]["sockets"] = sockets;
+    s.start();
+    const auto idle = idle_clients(s, client_connections);
+    const auto connected_at = Steady::now();
+    const auto newcomers = silent_clients(s, 3);
+    std::size_t handlers = 0;
+    s.until([&] {
+        handlers += s.loop.poll_one();
+        return all_ended(newcomers);
+    });
+    for (const auto& newcomer : newcomers) EXPECT_LT(newcomer->ended_at - connected_at, peer_deadline);
+    EXPECT_LT(handlers, most_handlers);
+    EXPECT_TRUE(none_ended(idle));
+}
+
+// Idle clients hold all the connections there are for clients, and more come, while discovery refuses
+// connections. Clients with an open connection are served, and discovery is heard when it is back.
+TEST(ClientLimits, IdleClientsLeaveDescriptorsForUpstreamsAndDiscovery) {
+    constexpr std::size_t crowd_size = 40;
+    Stage s(2);
+    Listener discovery(s.loop, Listener::Begin::reserved);
+    s.config["discovery"] = text_of(discovery.address());
+    s.config["limits"]["sockets"] = sockets;
+    const auto descriptors_before = open_descriptors();
+    s.start();
+    const auto idle = idle_clients(s, client_connections);
+    const auto crowd_came_at = Steady::now();
+    const auto crowd = silent_clients(s, crowd_size);
+    s.until([&] { return all_ended(crowd); });
+    for (const auto& wire : crowd) EXPECT_LT(wire->ended_at - crowd_came_at, peer_deadline);
+
+    const auto client = idle.front();
+    client->say(look());
+    const auto served_by = s.request().first;
+    ASSERT_TRUE(served_by);
+    const auto held_by_peers = idle.size() + crowd.size() + s.connections();
+    EXPECT_LE(open_descriptors() - descriptors_before - held_by_peers, sockets);
+    served_by->say(ok());
+    EXPECT_EQ(status(s.answer(*client)), 200);
+    EXPECT_TRUE(discovery.wires.empty());
+
+    // The balancer closes its kept connection to an upstream that discovery says has left.
+    const std::size_t left = s.upstreams[0]->wires.empty() ? 1 : 0;
+    json news = s.list(9, false);
+    news["hosts"] = {s.upstream(left, "left")};
+    discovery.listen();
+    s.until([&] { return !discovery.wires.empty() && has(discovery.wires[0]->in, "\r\n\r\n"); });
+    discovery.wires[0]->say("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" +
+                            chunk(news.dump() + "\n"));
+    s.until([&] { return served_by->ended; });
+    client->say(look());
+    s.request().first->say(ok());
+    EXPECT_EQ(status(s.answer(*client)), 200);
+    EXPECT_EQ(s.upstreams[left]->wires.size(), 1U);
+    EXPECT_EQ(s.upstreams[1 - left]->wires.size(), 1U);
+}
+
+// Each client connection that is closed makes room for one new client.
+TEST(ClientLimits, NewClientsAreServedOnceOthersClose) {
+    Stage s(1);
+    s.config["limits"]["sockets"] = sockets;
+    s.start();
+    const auto idle = idle_clients(s, client_connections);
+    const auto shut = s.client();
+    s.until([&] { return shut->ended; });
+    EXPECT_TRUE(none_ended(idle));
+    constexpr std::size_t leaving = 3;
+    for (std::size_t i = 0; i < leaving; ++i) idle[i]->close();
+    for (std::size_t i = 0; i < leaving; ++i) {
+        const auto newcomer = s.client();
+        newcomer->say(look());
+        s.request().first->say(ok());
+        EXPECT_EQ(status(s.answer(*newcomer)), 200);
+    }
+    expect_served(s, Wires(idle.begin() + leaving, idle.end()));
+}
+
+// The process's own limit holds where it is below that of the configuration.
+TEST(ClientLimits, TheDescriptorLimitOfTheProcessHolds) {
+    Stage s(1);
+    {
+        const LoweredDescriptorLimit lowered(sockets);
+        s.start();
+    }
+    const auto idle = idle_clients(s, client_connections);
+    const auto newcomer = s.client();
+    s.until([&] { return newcomer->ended; });
+    EXPECT_TRUE(none_ended(idle));
+}
+
+}  // namespace
+}  // namespace flaxdoor::test
