Hold the terms of the standing test that no test held yet

Change: tests/standing_terms_test.cpp. The upstream whose connections are held back moves from crossing_test to tests/slow_upstream.h, unchanged, for both to use; a scripted peer sends without delay, so that pieces leave as pieces.

--- a/tests/crossing_test.cpp
+++ b/tests/crossing_test.cpp
@@ -6,20 +6,12 @@
 #include <set>
 
 #include "peers.h"
+#include "slow_upstream.h"
 
 namespace flaxdoor::test {
 
 namespace {
 
-// Has every event that is on its way by now been handled? Each answer needs turns of the loop of its own.
-void settle(Stage& s) {
-    for (int i = 0; i < 3; ++i) {
-        const auto client = s.client();
-        client->say("GET /ready HTTP/1.1\r\nHost: x\r\n\r\n");
-        s.answer(*client);
-    }
-}
-
 // ------------------------------------------------------------------------------------------------- lists
 
 const char* const watch_head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
@@ -122,9 +114,6 @@
     EXPECT_TRUE(has(s.answer(*client), "to the second"));
 }
 
-const std::string turned_away =
-    "HTTP/1.1 503 Service Unavailable\r\nX-Rejected: 1\r\nContent-Length: 0\r\n\r\n";
-
 // Sends the same request until one goes out on a connection that has carried another, which is returned with
 // its client. All others are served.
 std::pair<std::shared_ptr<Wire>, std::shared_ptr<Wire>> one_on_a_kept_connection(Stage& s,
@@ -244,52 +233,6 @@
     }
 }
 
-// An upstream of which connections come up only when it is let: its queue of them is full till then.
-class Slow {
-public:
-    explicit Slow(Stage& s) : loop_(s.loop), acceptor_(s.loop) {
-        acceptor_.open(tcp::v4());
-        acceptor_.bind(loopback());
-        acceptor_.listen(0);
-        s.config["known"]["hosts"][0]["dial"] = text_of(acceptor_.local_endpoint());
-        for (int i = 0; i < 4; ++i) wait_in_line();
-        s.until([&] { return through_ > 0; });
-    }
-    ~Slow() { acceptor_.close(); }
-
-    void wait_in_line() {
-        lines_.push_back(std::make_shared<tcp::socket>(loop_));
-        lines_.back()->async_connect(acceptor_.local_endpoint(), [this, line = lines_.back()](auto error) {
-            through_ += !error;
-            boost::system::error_code ignored;
-            asio::write(*line, asio::buffer("x", 1), ignored);  // or the listener's side may not come up
-        });
-    }
-    // Takes connections, until all that wait in line have come through.
-    void let(Stage& s) {
-        wait_in_line();  // behind the host's
-        accept();
-        s.until([&] { return through_ == lines_.size() && wires.size() >= lines_.size(); });
-        settle(s);
-    }
-
-    std::vector<std::shared_ptr<Wire>> wires;
-
-private:
-    void accept() {
-        acceptor_.async_accept([this](boost::system::error_code error, tcp::socket socket) {
-            if (error) return;
-            wires.push_back(std::make_shared<Wire>(std::move(socket)));
-            wires.back()->start();
-            accept();
-        });
-    }
-    asio::io_context& loop_;
-    tcp::acceptor acceptor_;
-    std::vector<std::shared_ptr<tcp::socket>> lines_;
-    std::size_t through_ = 0;
-};
-
 // Sends requests until one waits for a connection to the slow upstream, and returns its client.
 std::shared_ptr<Wire> one_that_waits(Stage& s) {
     for (;;) {
@@ -306,12 +249,6 @@
     }
 }
 
-void allow_slow_connections(Stage& s) {
-    for (auto& c : s.config["settings"]["services"]) c["aim"] = 15000.0;
-    for (auto& c : s.config["settings"]["services"]) c["hard_limit"] = 15000.0;
-    s.config["settings"]["limits"]["connect_timeout"] = 15000.0;
-}
-
 TEST(HandOver, NothingIsSentOnOverAConnectionThatComesUp) {
     for (const bool may_cancel : {true, false}) {
         Stage s;
--- a/tests/peers.h
+++ b/tests/peers.h
@@ -30,7 +30,10 @@
 // One end of a connection: keeps what has come and whether the other side has ended.
 class Wire : public std::enable_shared_from_this<Wire> {
 public:
-    explicit Wire(tcp::socket socket) : socket_(std::move(socket)) {}
+    explicit Wire(tcp::socket socket) : socket_(std::move(socket)) {
+        boost::system::error_code ignored;
+        socket_.set_option(tcp::no_delay(true), ignored);  // what is said in pieces leaves in pieces
+    }
 
     void start() {
         socket_.async_read_some(asio::buffer(piece_),
--- /dev/null
+++ b/tests/standing_terms_test.cpp
@@ -0,0 +1,825 @@
+// Terms that the operators hold a running balancer to and that no other test file covers. Sockets are on
+// loopback; the last section drives the decision module alone.
+#include <gtest/gtest.h>
+#include <spawn.h>
+#include <stdlib.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <boost/asio/posix/stream_descriptor.hpp>
+#include <csignal>
+#include <filesystem>
+#include <fstream>
+#include <map>
+
+#include "net/upstreams.h"
+#include "peers.h"
+#include "rig.h"
+#include "slow_upstream.h"
+
+namespace flaxdoor::test {
+
+namespace {
+
+using Steady = std::chrono::steady_clock;
+using std::chrono::milliseconds;
+
+// What the protocol adds to each time limit on sockets.
+constexpr milliseconds socket_slack(50);
+
+const std::string watch_head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+std::string chunk(const std::string& text) {
+    std::ostringstream size;
+    size << std::hex << text.size();
+    return size.str() + "\r\n" + text + "\r\n";
+}
+
+bool asked(const Listener& discovery, std::size_t n) {
+    return discovery.wires.size() >= n && has(discovery.wires[n - 1]->in, "\r\n\r\n");
+}
+
+void wait_for(Stage& s, milliseconds span) {
+    asio::steady_timer timer(s.loop, span);
+    bool over = false;
+    timer.async_wait([&](auto) { over = true; });
+    s.until([&] { return over; });
+}
+
+std::string lower_case(std::string text) {
+    for (char& c : text) c = static_cast<char>(std::tolower(static_cast<unsigned char>(c)));
+    return text;
+}
+
+// ------------------------------------------------------------------------------------- messages in pieces
+
+// Each piece has been read by the time the next one is written.
+void say_in_pieces(Stage& s, Wire& wire, std::string_view text, std::size_t size) {
+    for (std::size_t at = 0; at < text.size(); at += size) {
+        wire.say(text.substr(at, size));
+        s.loop.restart();
+        s.loop.poll();
+    }
+}
+
+struct RequestForm {
+    const char* what;
+    std::string text;
+    std::string body;
+};
+
+std::vector<RequestForm> request_forms() {
+    const std::string line = "POST /api?a=1&b=%20 HTTP/1.1\r\n";
+    const std::string facts =
+        "X-Call-Id: 9b1f\r\nX-Call-Class: book it\r\nX-Budget-Ms: 5000\r\nIdempotency-Key: k7\r\n";
+    const std::string plain = line + "Host: api.internal\r\n" + facts;
+    return {
+        {"as on the page", plain + "Content-Length: 4\r\n\r\na\r\nb", "a\r\nb"},
+        {"names in small letters",
+         line + "host: api.internal\r\nx-call-id: 9b1f\r\nx-call-class: book it\r\nx-budget-ms: 5000\r\n"
+                "idempotency-key: k7\r\ncontent-length: 4\r\n\r\nbody",
+         "body"},
+        {"names in capitals",
+         line + "HOST: api.internal\r\nX-CALL-ID: 9b1f\r\nX-CALL-CLASS: book it\r\nX-BUDGET-MS: 5000\r\n"
+                "IDEMPOTENCY-KEY: k7\r\nCONTENT-LENGTH: 4\r\n\r\nbody",
+         "body"},
+        {"no spaces",
+         line + "Host:api.internal\r\nX-Call-Id:9b1f\r\nX-Call-Class:book it\r\nX-Budget-Ms:5000\r\n"
+                "Idempotency-Key:k7\r\nContent-Length:4\r\n\r\nbody",
+         "body"},
+        {"spaces and tabs round values",
+         line +
+             "Host: \t api.internal\r\nX-Call-Id:  9b1f \t\r\nX-Call-Class:\tbook it \r\nX-Budget-Ms:   5000 "
+             " \r\nIdempotency-Key: \tk7\t\r\nContent-Length: \t4 \r\n\r\nbody",
+         "body"},
+        {"no body, length 0", plain + "Content-Length: 0\r\n\r\n", ""},
+        {"one chunk", plain + "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n", "body"},
+        {"many chunks, sizes in both cases and with zeros",
+         plain + "Transfer-Encoding: chunked\r\n\r\na\r\n0123456789\r\nB\r\n0123456789a\r\n0002\r\n\r\n\r\n"
+                 "0\r\n\r\n",
+         "01234567890123456789a\r\n"},
+        {"chunk extensions and a trailer",
+         plain + "Transfer-Encoding: chunked\r\n\r\n2;n=1\r\nbo\r\n2;q=\"a;b\"\r\ndy\r\n0;last\r\nX-Sum: "
+                 "7\r\n\r\n",
+         "body"},
+        {"chunked in other letters", plain + "transfer-encoding: Chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
+         "body"},
+        {"a client that asks before it sends its body",
+         plain + "Expect: 100-continue\r\nContent-Length: 4\r\n\r\nbody", "body"},
+    };
+}
+
+TEST(Pieces, RequestsInAllFormsArePassedOnWholeAndOnce) {
+    for (const std::size_t size : {1, 3, 7}) {
+        for (const auto& form : request_forms()) {
+            Stage s;
+            s.start();
+            const auto client = s.client();
+            say_in_pieces(s, *client, form.text, size);
+            const auto [wire, request] = s.request();
+            EXPECT_TRUE(has(request, "POST /api?a=1&b=%20 HTTP/1.1\r\n")) << form.what;
+            const std::string headers = lower_case(request.substr(0, request.find("\r\n\r\n") + 2));
+            EXPECT_TRUE(has(headers, "\r\nx-call-id: 9b1f\r\n")) << form.what;
+            EXPECT_TRUE(has(headers, "\r\nidempotency-key: k7\r\n")) << form.what;
+            EXPECT_FALSE(has(headers, "\r\ntransfer-encoding:")) << form.what;
+            EXPECT_EQ(request.substr(request.find("\r\n\r\n") + 4), form.body) << form.what;
+            wire->say(ok());
+            s.until([&] { return has(client->in, "served"); });
+            EXPECT_TRUE(has(client->in, "HTTP/1.1 200 OK\r\n")) << form.what;
+            settle(s);
+            EXPECT_TRUE(s.nothing_sent()) << form.what;
+            EXPECT_EQ(s.connections(), 1U) << form.what;
+            client->in.clear();
+            client->say(look());  // its end was found: the next request is read as such
+            s.request().first->say(ok());
+            EXPECT_EQ(status(s.answer(*client)), 200) << form.what;
+            s.host.reset();
+        }
+    }
+}
+
+TEST(Pieces, AnswersInAllFormsArePassedOnWhole) {
+    struct AnswerForm {
+        const char* what;
+        std::string text;
+        bool ends;
+    };
+    const std::vector<AnswerForm> forms = {
+        {"as on the page", ok(), false},
+        {"small letters, no spaces", "HTTP/1.1 200 OK\r\ncontent-length:6\r\n\r\nserved", false},
+        {"capitals, spaces and tabs", "HTTP/1.1 200 OK\r\nCONTENT-LENGTH: \t6 \t\r\n\r\nserved", false},
+        {"no reason", "HTTP/1.1 200 \r\nContent-Length: 6\r\n\r\nserved", false},
+        {"chunks with extensions and a trailer",
+         "HTTP/1.1 200 OK\r\nTransfer-Encoding: "
+         "chunked\r\n\r\n3;n=\"a;b\"\r\nser\r\n03\r\nved\r\n0\r\nX-Sum: "
+         "1\r\n\r\n",
+         false},
+        {"chunked in other letters",
+         "HTTP/1.1 200 OK\r\ntransfer-encoding: CHUNKED\r\n\r\n6\r\nserved\r\n0\r\n\r\n", false},
+        {"no length, up to the connection's end", "HTTP/1.1 200 OK\r\n\r\nserved", true},
+        {"behind two interim answers", "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 102 Processing\r\n\r\n" + ok(),
+         false},
+    };
+    for (const std::size_t size : {1, 3, 7}) {
+        for (const auto& form : forms) {
+            Stage s(1);
+            s.start();
+            const auto client = s.client();
+            client->say(once());
+            const auto wire = s.request().first;
+            say_in_pieces(s, *wire, form.text, size);
+            if (form.ends) wire->close();
+            const auto answer = s.answer(*client);
+            EXPECT_EQ(status(answer), 200) << form.what;
+            EXPECT_EQ(answer.substr(answer.find("\r\n\r\n") + 4), "served") << form.what;
+            s.host.reset();
+        }
+    }
+}
+
+TEST(Pieces, ARefusalInAnyFormIsProofThatNothingRan) {
+    for (const std::string refusal :
+         {"HTTP/1.1 503 Service Unavailable\r\nx-rejected:1\r\ncontent-length:0\r\n\r\n",
+          "HTTP/1.1 504 \r\nX-REJECTED: \t1 \r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n"}) {
+        Stage s;
+        s.start();
+        const auto client = s.client();
+        client->say(once());
+        say_in_pieces(s, *s.request().first, refusal, 3);
+        s.request().first->say(ok());
+        EXPECT_EQ(status(s.answer(*client)), 200) << refusal;
+        s.host.reset();
+    }
+}
+
+// A reset is not the end of an answer that tells no length: it has failed, and it may have run.
+TEST(Pieces, AnAnswerWithoutLengthThatIsResetIsNoAnswer) {
+    for (const bool unsafe : {true, false}) {
+        Stage s;
+        s.start();
+        const auto client = s.client();
+        client->say(unsafe ? once() : look());
+        const auto wire = s.request().first;
+        say_in_pieces(s, *wire, "HTTP/1.1 200 OK\r\n\r\nserv", 7);
+        wire->reset();
+        if (!unsafe) s.request().first->say(ok());
+        EXPECT_EQ(status(s.answer(*client)), unsafe ? 502 : 200);
+        settle(s);
+        EXPECT_TRUE(s.nothing_sent());
+        s.host.reset();
+    }
+}
+
+// ------------------------------------------------------------------------- upstreams that die at an accept
+
+// Records the outcome of one attempt, and does what is set the moment that its connection is up.
+struct OutcomeOfOne : net::UpstreamEvents {
+    std::optional<Outcome> outcome;
+    std::function<void()> as_it_comes_up = [] {};
+    void on_attempt_result(net::AttemptResult result) override { outcome = result.outcome; }
+    void on_connection(net::AttemptKey) override { as_it_comes_up(); }
+    void on_probe_result(ProbeResult) override {}
+};
+
+net::HttpRequest bare_request(std::size_t body_size) {
+    net::HttpRequest request(boost::beast::http::verb::post, "/api", 11);
+    request.body() = std::string(body_size, 'x');
+    request.prepare_payload();
+    return request;
+}
+
+TEST(Killed, AResetBeforeTheFirstByteIsNoConnection) {
+    Stage s(0);
+    tcp::acceptor acceptor(s.loop, loopback());
+    OutcomeOfOne sink;
+    sink.as_it_comes_up = [&] {
+        tcp::socket peer = acceptor.accept();
+        peer.set_option(asio::socket_base::linger(true, 0));
+        peer.close();
+    };
+    const net::Clock clock;
+    net::Upstreams upstreams(s.loop, clock, {std::chrono::seconds(5), {}, 8}, {}, sink);
+    upstreams.set_address(1, acceptor.local_endpoint());
+    const Time expires = clock.now() + std::chrono::seconds(15);
+    upstreams.send({1, 0}, 1, bare_request(10), expires, expires);
+    s.until([&] { return sink.outcome.has_value(); });
+    EXPECT_EQ(sink.outcome, Outcome::connect_failed);
+}
+
+// More than the system holds in its buffers: the last byte can't have been written.
+TEST(Killed, AResetInTheMiddleOfTheRequestIsNoConnection) {
+    constexpr std::size_t size = 64 << 20;
+    Stage s(1);
+    OutcomeOfOne sink;
+    const net::Clock clock;
+    net::Upstreams upstreams(s.loop, clock, {std::chrono::seconds(5), {}, 8}, {}, sink);
+    upstreams.set_address(1, s.upstreams[0]->address());
+    const Time expires = clock.now() + std::chrono::seconds(15);
+    upstreams.send({1, 0}, 1, bare_request(size), expires, expires);
+    auto& wires = s.upstreams[0]->wires;
+    s.until([&] { return !wires.empty() && !wires[0]->in.empty(); });
+    ASSERT_LT(wires[0]->in.size(), size / 2);
+    wires[0]->reset();
+    s.until([&] { return sink.outcome.has_value(); });
+    EXPECT_EQ(sink.outcome, Outcome::connect_failed);
+}
+
+// An upstream that resets each connection the moment it has accepted it.
+class Resetting {
+public:
+    explicit Resetting(Stage& s) : acceptor_(s.loop, loopback()) {
+        s.config["known"]["hosts"][0]["dial"] = text_of(acceptor_.local_endpoint());
+        accept();
+    }
+    int resets = 0;
+
+private:
+    void accept() {
+        acceptor_.async_accept([this](boost::system::error_code error, tcp::socket socket) {
+            if (error) return;
+            socket.set_option(asio::socket_base::linger(true, 0));
+            socket.close();
+            ++resets;
+            accept();
+        });
+    }
+    tcp::acceptor acceptor_;
+};
+
+// A request that is harmless twice goes on to the other upstream. An unsafe one does so only if it was not
+// written whole, and then once; else it fails and is not refused.
+TEST(Killed, AnUpstreamThatResetsWhatItAccepts) {
+    for (const bool unsafe : {true, false}) {
+        Stage s;
+        Resetting resetting(s);
+        s.start();
+        int served = 0, arrived = 0;
+        for (int i = 0; i < 12; ++i) {
+            const auto client = s.client();
+            client->say(unsafe ? once() : look());
+            std::string answer;
+            s.until([&] {
+                for (const auto& wire : s.upstreams[1]->wires) {
+                    if (wire->take().empty()) continue;
+                    ++arrived;
+                    wire->say(ok());
+                }
+                return !(answer = client->take()).empty();
+            });
+            served += status(answer) == 200;
+            EXPECT_TRUE(status(answer) == 200 || (unsafe && status(answer) == 502)) << answer;
+        }
+        settle(s);
+        EXPECT_TRUE(s.nothing_sent());
+        EXPECT_EQ(arrived, served) << unsafe;
+        EXPECT_GT(resetting.resets, 0);
+        s.host.reset();
+    }
+}
+
+// The system has accepted the connection and taken the whole request when the process dies that listens.
+TEST(Killed, AProcessThatDiesBeforeItsAcceptMayHaveRunTheRequest) {
+    Stage s(1);
+    tcp::acceptor acceptor(s.loop, loopback());
+    s.config["known"]["hosts"][0]["dial"] = text_of(acceptor.local_endpoint());
+    s.start();
+    const auto client = s.client();
+    client->say(once());
+    settle(s);  // the request has been written
+    acceptor.close();
+    EXPECT_EQ(status(s.answer(*client)), 502);  // and not 503, which would say that it never ran
+}
+
+TEST(Killed, AHarmlessRequestGoesOnFromAProcessThatDiesBeforeItsAccept) {
+    Stage s;
+    tcp::acceptor acceptor(s.loop, loopback());
+    s.config["known"]["hosts"][0]["dial"] = text_of(acceptor.local_endpoint());
+    s.config["settings"]["services"][0]["aim"] = 5000.0;  // no time-out before the process dies
+    s.start();
+    std::shared_ptr<Wire> client;
+    for (bool waits = false; !waits;) {
+        client = s.client();
+        client->say(look());
+        settle(s);
+        waits = s.nothing_sent();
+        if (waits) break;
+        s.request().first->say(ok());
+        EXPECT_EQ(status(s.answer(*client)), 200);
+    }
+    acceptor.close();
+    s.request().first->say(ok());
+    EXPECT_EQ(status(s.answer(*client)), 200);
+}
+
+// --------------------------------------------------------------------------------------- a running program
+
+// The program itself, as a child that ends with this object.
+class Program {
+public:
+    explicit Program(Stage& s) : stage_(s), errors_(s.loop) {
+        std::string directory = testing::TempDir() + "flaxdoor-XXXXXX";
+        if (!::mkdtemp(directory.data())) throw std::runtime_error("no directory");
+        directory_ = directory;
+        configure(s.config.dump());
+        spawn();
+        read();
+    }
+    ~Program() {
+        if (child_ > 0) {
+            ::kill(child_, SIGKILL);
+            ::waitpid(child_, nullptr, 0);
+        }
+        errors_.close();
+        std::filesystem::remove_all(directory_);
+    }
+
+    std::filesystem::path file() const { return directory_ / "config.json"; }
+    void configure(const std::string& text) { std::ofstream(file(), std::ios::binary) << text; }
+    void signal(int number) { ::kill(child_, number); }
+    // Waits for a line on the standard error that begins like this, behind those waited for before.
+    void expect_line(const std::string& beginning) {
+        std::size_t at = std::string::npos;
+        stage_.until([&] {
+            at = ("\n" + said_).find("\n" + beginning, seen_);
+            return at != std::string::npos && said_.find('\n', at) != std::string::npos;
+        });
+        if (at != std::string::npos) seen_ = said_.find('\n', at);
+    }
+    bool runs() const { return ::waitpid(child_, nullptr, WNOHANG) == 0; }
+    int exit_status() {
+        int how = 0;
+        ::waitpid(child_, &how, 0);
+        child_ = 0;
+        return WIFEXITED(how) ? WEXITSTATUS(how) : -1;
+    }
+
+private:
+    void spawn() {
+        int ends[2];
+        if (::pipe(ends) != 0) throw std::runtime_error("no pipe");
+        posix_spawn_file_actions_t actions;
+        posix_spawn_file_actions_init(&actions);
+        posix_spawn_file_actions_adddup2(&actions, ends[1], STDERR_FILENO);
+        posix_spawn_file_actions_addclose(&actions, ends[0]);
+        std::string path = FLAXDOOR_BALANCER;
+        std::string configuration = "NODE_CONFIG=" + file().string();
+        char* const arguments[] = {path.data(), nullptr};
+        char* const environment[] = {configuration.data(), nullptr};
+        const int error = ::posix_spawn(&child_, path.c_str(), &actions, nullptr, arguments, environment);
+        posix_spawn_file_actions_destroy(&actions);
+        ::close(ends[1]);
+        errors_.assign(ends[0]);
+        if (error != 0) throw std::runtime_error("the program was not started");
+    }
+    void read() {
+        errors_.async_read_some(asio::buffer(piece_), [this](auto error, std::size_t got) {
+            said_.append(piece_, got);
+            if (!error) read();
+        });
+    }
+
+    Stage& stage_;
+    asio::posix::stream_descriptor errors_;
+    std::filesystem::path directory_;
+    pid_t child_ = 0;
+    std::string said_;
+    std::size_t seen_ = 0;
+    char piece_[4096];
+};
+
+// A configuration that can't be read is reported; the program goes on with the one it has, asks discovery at
+// the address it knows, and takes the next one that can be read.
+TEST(Reload, AConfigurationThatCannotBeReadLeavesTheOneInForce) {
+    Stage s;
+    Listener moved(s.loop);
+    s.config["settings"]["invariants"]["ask_within"] = 200.0;
+    json next = s.config;
+    next["discovery"] = text_of(moved.address());
+    json no_address = next;
+    no_address["discovery"] = "nowhere";
+    json no_settings = next;
+    no_settings.erase("settings");
+    const std::string whole = next.dump();
+    Program program(s);
+    program.expect_line("listening");
+    std::size_t calls = 1;
+    s.until([&] { return asked(s.discovery, calls); });
+    for (const std::string& broken : {std::string(), whole.substr(0, whole.size() / 2), std::string("[]"),
+                                      no_address.dump(), no_settings.dump(), std::string("no file")}) {
+        program.configure(broken);
+        if (broken == "no file") std::filesystem::remove(program.file());
+        program.signal(SIGHUP);
+        program.expect_line("flaxdoor: configuration " + program.file().string() + ": ");
+        ASSERT_TRUE(program.runs()) << broken;
+        s.discovery.wires[calls - 1]->close();  // it asks again, and where it did
+        ++calls;
+        s.until([&] { return asked(s.discovery, calls); });
+        EXPECT_TRUE(moved.wires.empty()) << broken;
+    }
+    program.configure(whole);
+    program.signal(SIGHUP);
+    program.expect_line("configuration read anew");
+    s.until([&] { return asked(moved, 1); });
+    program.signal(SIGTERM);
+    program.expect_line("drained");
+    EXPECT_EQ(program.exit_status(), 0);
+}
+
+// ------------------------------------------------------------------------------- peers that send rubbish
+
+// From connecting on, and as long as there are 60 MB to send.
+constexpr std::chrono::seconds rubbish_limit(3), flood_limit(6);
+
+std::vector<std::string> rubbish() {
+    using namespace std::string_literals;
+    const std::string head = "POST /api HTTP/1.1\r\nHost: x\r\nX-Call-Id: c\r\nX-Call-Class: once\r\n";
+    const std::string request = once();
+    const std::string inner = look();
+    return {
+        "",
+        "G",
+        "\r\n",
+        "GET /api HTTP/1.1",
+        "GET /api\r\n\r\n",
+        "GET  /api  HTTP/1.1\r\n\r\n",
+        "PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n",
+        "\x16\x03\x01\x02\x00\x01\x00\x01\xfc\x03\x03"s,
+        std::string(1000, '\0'),
+        request.substr(0, request.size() - 1),
+        request.substr(0, request.find("\r\n\r\n") + 2),
+        head + "X-Budget-Ms: 100\r\nContent-Length: 4\r\nContent-Length: 5\r\n\r\nbody",
+        head + "X-Budget-Ms: 100\r\nX-Budget-Ms : 100\r\nContent-Length: 0\r\n\r\n",
+        head + "X-Budget-Ms: 100\r\nTransfer-Encoding: chunked\r\n\r\nxyz\r\n",
+        head + "X-Budget-Ms: 100\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody",
+        head + "X-Budget-Ms: 100\r\nTransfer-Encoding: chunked\r\n\r\nffffffffffffffffff\r\nbody",
+        head + "X-Budget-Ms: 100\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n" + inner,
+        head + "X-Budget-Ms: 100\r\nTransfer-Encoding: chunked\r\nContent-Length: 4\r\n\r\n0\r\n\r\n" + inner,
+        "nonsense\r\n\r\n" + inner,
+        head + "X-Budget-Ms: none\r\nContent-Length: " + std::to_string(inner.size()) + "\r\n\r\n" + inner,
+        "DELETE /api HTTP/1.1\r\nHost: x\r\nX-Call-Id: c\r\nX-Call-Class: look\r\nX-Budget-Ms: 100\r\n\r\n",
+        "GET /api HTTP/1.1\r\nHost: x\r\nX-Call-Id: c\r\nX-Call-Class: once\r\nX-Budget-Ms: 100\r\n\r\n",
+    };
+}
+
+bool refused_or_closed(const Wire& wire) { return wire.ended || status(wire.in) >= 400; }
+
+// One of them sends a byte at a time for as long as it may.
+TEST(Rubbish, GetsAnErrorOrACloseInTimeAndReachesNoUpstream) {
+    Stage s;
+    s.start();
+    const auto began = Steady::now();
+    std::vector<std::shared_ptr<Wire>> peers;
+    for (const auto& text : rubbish()) {
+        peers.push_back(s.client());
+        peers.back()->say(text);
+    }
+    const auto trickling = s.client();
+    s.until([&] {
+        if (!trickling->ended) trickling->say("a");
+        return refused_or_closed(*trickling) &&
+               std::all_of(peers.begin(), peers.end(), [](const auto& p) { return refused_or_closed(*p); });
+    });
+    EXPECT_LT(Steady::now() - began, rubbish_limit);
+    for (std::size_t i = 0; i < peers.size(); ++i) {
+        EXPECT_TRUE(refused_or_closed(*peers[i])) << rubbish()[i];
+        EXPECT_FALSE(has(peers[i]->in, "HTTP/1.1 200")) << rubbish()[i];
+    }
+    settle(s);
+    for (const auto& upstream : s.upstreams) {
+        for (const auto& wire : upstream->wires) ADD_FAILURE() << "reached an upstream: " << wire->in;
+    }
+}
+
+// A peer that goes on sending whatever it is answered.
+class Flood {
+public:
+    Flood(Stage& s, std::string text) : socket_(s.loop), text_(std::move(text)) {
+        socket_.connect(s.host->address());
+        asio::async_write(socket_, asio::buffer(text_), [](auto, std::size_t) {});
+        read();
+    }
+    bool refused_or_closed() const { return ended_ || status(in_) >= 400; }
+
+private:
+    void read() {
+        socket_.async_read_some(asio::buffer(piece_), [this](auto error, std::size_t got) {
+            in_.append(piece_, got);
+            ended_ = static_cast<bool>(error);
+            if (!error) read();
+        });
+    }
+    tcp::socket socket_;
+    const std::string text_;
+    std::string in_;
+    bool ended_ = false;
+    char piece_[4096];
+};
+
+TEST(Rubbish, SixtyMegabytesOfItAreRefusedInTime) {
+    const std::string much(60'000'000, 'x');
+    const std::string head = "POST /api HTTP/1.1\r\nHost: x\r\nX-Call-Id: c\r\nX-Call-Class: once\r\n";
+    for (const std::string& beginning :
+         {std::string(), head + "X-Long: ",
+          head + "X-Budget-Ms: 5000\r\nContent-Length: " + std::to_string(much.size()) + "\r\n\r\n",
+          head + "X-Budget-Ms: 5000\r\nTransfer-Encoding: chunked\r\n\r\n3938700\r\n"}) {
+        Stage s(1);
+        s.start();
+        const auto began = Steady::now();
+        Flood flood(s, beginning + much);
+        s.until([&] { return flood.refused_or_closed(); });
+        EXPECT_LT(Steady::now() - began, flood_limit) << beginning;
+        const auto client = s.client();  // others are served meanwhile
+        client->say(look());
+        s.request().first->say(ok());
+        EXPECT_EQ(status(s.answer(*client)), 200) << beginning;
+        EXPECT_EQ(s.connections(), 1U) << beginning;
+        s.host.reset();
+        s.loop.restart();
+        s.loop.poll();  // the flood's own handlers end before it does
+    }
+}
+
+// ---------------------------------------------------------------------------------- requests out of time
+
+struct Waiting {
+    std::shared_ptr<Wire> client;
+    Steady::time_point sent;
+    milliseconds budget;
+    std::string what;
+    std::optional<Steady::time_point> answered;
+};
+
+// Requests of every class and of different budgets, all at once and none served: each has its answer in time.
+void expect_answers_in_time(Stage& s, const std::string& why) {
+    std::vector<Waiting> all;
+    for (const int budget : {60, 150, 400, 900}) {
+        for (const auto& request : {look(budget), once(budget), book(budget)}) {
+            all.push_back({s.client(), Steady::now(), milliseconds(budget), request, {}});
+            all.back().client->say(request);
+        }
+    }
+    s.until([&] {
+        for (auto& w : all) {
+            if (!w.answered && (w.client->ended || has(w.client->in, "\r\n\r\n"))) w.answered = Steady::now();
+        }
+        return std::all_of(all.begin(), all.end(), [](const Waiting& w) { return w.answered.has_value(); });
+    });
+    for (const auto& w : all) {
+        EXPECT_GE(status(w.client->in), 500) << why << ": " << w.what;
+        ASSERT_TRUE(w.answered) << why << ": " << w.what;
+        EXPECT_LE(*w.answered - w.sent, w.budget + socket_slack) << why << ": " << w.what;
+    }
+}
+
+TEST(OutOfTime, WhereUpstreamsHang) {
+    Stage s;
+    s.start();
+    expect_answers_in_time(s, "they hang");
+}
+
+TEST(OutOfTime, WhereThereAreNoUpstreams) {
+    Stage s(0);
+    s.start();
+    expect_answers_in_time(s, "there are none");
+}
+
+TEST(OutOfTime, WhereConnectionsNeverComeUp) {
+    for (const double connect_timeout : {200.0, 15000.0}) {
+        Stage s(1);
+        s.config["settings"]["limits"]["connect_timeout"] = connect_timeout;
+        Slow slow(s);
+        s.start();
+        expect_answers_in_time(s, "connections never come up");
+        s.host.reset();
+    }
+}
+
+TEST(OutOfTime, WhereUpstreamsTakeNoConnection) {
+    Stage s;
+    for (const auto& upstream : s.upstreams) upstream->close();
+    s.start();
+    expect_answers_in_time(s, "connections are refused");
+}
+
+// ------------------------------------------------------------------------- the time that an attempt tells
+
+milliseconds told_budget(const std::string& request) {
+    const std::string name = "X-Budget-Ms: ";
+    const auto at = request.find(name);
+    return milliseconds(at == std::string::npos ? -1 : std::stol(request.substr(at + name.size())));
+}
+
+// Each attempt but the first is turned away after a while.
+TEST(ToldTime, OfFurtherAttemptsIsAtMostWhatIsLeft) {
+    constexpr milliseconds budget(2000), held(100);
+    Stage s(4);
+    s.start();
+    const auto client = s.client();
+    const auto sent = Steady::now();
+    client->say(look(budget.count()));
+    auto wire = s.request().first;
+    for (int further = 1; further <= 3; ++further) {
+        wait_for(s, held);
+        const auto left = budget - (Steady::now() - sent);
+        wire->say(turned_away);
+        const auto next = s.request();
+        EXPECT_GT(told_budget(next.second), milliseconds(0)) << further;
+        EXPECT_LE(told_budget(next.second), left) << further;
+        wire = next.first;
+    }
+    wire->say(ok());
+    EXPECT_EQ(status(s.answer(*client)), 200);
+}
+
+// ----------------------------------------------------------------------------------- clients that have gone
+
+// A burst of clients goes while no upstream is known; then one is.
+TEST(Gone, NothingIsSentForAClientThatLeftBeforeItsFirstAttempt) {
+    for (const std::string how : {"closes", "resets", "closes behind more"}) {
+        Stage s(2);
+        s.config["known"]["hosts"] = json::array();
+        s.start();
+        s.until([&] { return asked(s.discovery, 1); });
+        std::vector<std::shared_ptr<Wire>> leaving;
+        for (int i = 0; i < 30; ++i) {
+            leaving.push_back(s.client());
+            leaving.back()->say(i % 3 == 0 ? look(5000, "leaves") : i % 3 == 1 ? once() : book());
+        }
+        const auto staying = s.client();
+        staying->say(look(5000, "stays"));
+        settle(s);
+        for (const auto& client : leaving) {
+            if (how == "closes behind more") client->say(std::string(100000, 'x'));
+            if (how == "resets") {
+                client->reset();
+            } else {
+                client->close();
+            }
+        }
+        settle(s);
+        s.discovery.wires[0]->say(watch_head + chunk(s.list(9, true).dump() + "\n"));
+        const auto [wire, request] = s.request();
+        EXPECT_TRUE(has(request, "X-Call-Id: stays\r\n")) << how;
+        wire->say(ok());
+        EXPECT_EQ(status(s.answer(*staying)), 200) << how;
+        settle(s);
+        EXPECT_TRUE(s.nothing_sent()) << how;
+        EXPECT_EQ(s.connections(), 1U) << how;
+        s.host.reset();
+    }
+}
+
+// ------------------------------------------------------------------------------- nobody turns all away
+
+struct Trouble {
+    Outcome outcome = Outcome::ok;
+    Micros lasts{};
+};
+
+struct Load {
+    int class_index = safe;
+    Micros gap{};  // from one request to the next
+};
+
+struct Pauses {
+    Micros longest{};      // without an attempt
+    Micros until_again{};  // from the trouble's end to the next attempt
+};
+
+// Upstreams that serve for a while, then end each attempt and probe with the trouble's outcome, then serve.
+Pauses pauses(const Settings& settings, Load load, Trouble trouble) {
+    struct Out {
+        RequestId request;
+        int attempt;
+        Outcome outcome;
+        Micros latency;
+    };
+    constexpr Micros step = milliseconds(5), served_in = milliseconds(10);
+    Rig rig(settings);
+    rig.fleet(12, 12);
+    std::multimap<Time, Out> out;
+    std::map<RequestId, int> attempts;
+    std::size_t seen = 0, probes_seen = 0;
+    const Time begins = rig.now + std::chrono::seconds(10), over = begins + trouble.lasts;
+    const Time ends = over + std::chrono::seconds(10);
+    Time next_request = rig.now, last_attempt = rig.now;
+    std::optional<Time> again;
+    Micros longest{};
+    while (rig.now < ends) {
+        rig.run(rig.now + step);
+        const bool troubled = rig.now >= begins && rig.now < over;
+        const Outcome outcome = troubled ? trouble.outcome : Outcome::ok;
+        if (rig.now >= next_request) {
+            rig.request(load.class_index);
+            next_request += load.gap;
+        }
+        for (; probes_seen < rig.sink.probed.size(); ++probes_seen) {
+            rig.policy->on_probe_result(rig.now, {rig.sink.probed[probes_seen], outcome, served_in, {}});
+        }
+        for (; seen < rig.sink.submits.size(); ++seen) {
+            const Submit submit = rig.sink.submits[seen];
+            const Micros most = submit.timeout > Micros{0} ? submit.timeout : milliseconds(1000);
+            const Micros latency = outcome == Outcome::timeout ? most : served_in;
+            out.emplace(rig.now + latency, Out{submit.request, attempts[submit.request]++, outcome, latency});
+            longest = std::max(longest, rig.now - last_attempt);
+            last_attempt = rig.now;
+            if (!again && rig.now >= over) again = rig.now;
+        }
+        while (!out.empty() && out.begin()->first <= rig.now) {
+            const Out o = out.begin()->second;
+            out.erase(out.begin());
+            rig.end(o.request, o.attempt, o.outcome, o.latency);
+        }
+    }
+    return {std::max(longest, rig.now - last_attempt), again.value_or(ends) - over};
+}
+
+// Calls `check` for fleets of several sizes, with and without probes, under light load (15 requests in 4 s)
+// and heavier load.
+void for_all_balancers(const std::function<void(const Settings&, Load, const std::string&)>& check) {
+    for (const int balancers : {1, 20, 300}) {
+        for (const bool may_probe : {true, false}) {
+            for (const int class_index : {safe, unsafe}) {
+                for (const Micros gap : {milliseconds(250), milliseconds(20)}) {
+                    Settings settings = plain_settings();
+                    settings.balancers = balancers;
+                    settings.may_probe = may_probe;
+                    check(settings, {class_index, gap},
+                          std::to_string(balancers) + " balancers, probes " + std::to_string(may_probe) +
+                              ", class " + std::to_string(class_index) + ", gap " +
+                              std::to_string(gap.count()) + " us");
+                }
+            }
+        }
+    }
+}
+
+constexpr Micros all_away_limit = std::chrono::seconds(4);
+
+// However long time-outs, refusals and failures of all upstreams last, requests go on being tried.
+TEST(NeverAllAway, AttemptsGoOnThroughTimeOutsAndRefusals) {
+    for_all_balancers([](const Settings& settings, Load load, const std::string& what) {
+        for (const Outcome outcome : {Outcome::timeout, Outcome::full, Outcome::error, Outcome::reset}) {
+            for (const int seconds : {1, 5, 20}) {
+                const auto p = pauses(settings, load, {outcome, std::chrono::seconds(seconds)});
+                EXPECT_LT(p.longest, all_away_limit)
+                    << what << ", outcome " << static_cast<int>(outcome) << " for " << seconds << " s";
+            }
+        }
+    });
+}
+
+// Where no connection comes up at any upstream, probes may go in place of attempts; requests are tried again
+// soon after connections come up again.
+TEST(NeverAllAway, AttemptsBeginAgainAfterConnectionsHaveFailed) {
+    for_all_balancers([](const Settings& settings, Load load, const std::string& what) {
+        for (const int seconds : {1, 5, 20}) {
+            const auto p = pauses(settings, load, {Outcome::connect_failed, std::chrono::seconds(seconds)});
+            EXPECT_LT(p.until_again, all_away_limit) << what << ", for " << seconds << " s";
+        }
+    });
+}
+
+}  // namespace
+}  // namespace flaxdoor::test
