Tell an upstream the time that is left when its connection is up, not when it was chosen

Seen: a further attempt whose connection came up 0.6 s late told 4995 ms with 4399 ms left to the client; 150 ms more than is left is what the terms allow for a fifth of them.

Cause: Host::send wrote X-Budget-Ms and Upstreams::send turned the request into bytes before the connection was made, which may take up to the connect time-out.

Change: a connection keeps the request and makes its bytes, with X-Budget-Ms, once it is up. A probe tells none, as before.

Measured: ToldTime.OfAFurtherAttemptIsWhatIsLeftWhenItsConnectionComesUp fails before (4995 ms against 4399 and the 150 allowed) and passes now; net_test and crossing_test pass.

--- a/src/net/host.cpp
+++ b/src/net/host.cpp
@@ -115,12 +115,8 @@
         on_attempt_result(std::move(moot));
         return;
     }
-    const Time now = clock_.now();
     const Time expires = timeout == Micros{0} ? open.deadline : std::min(open.deadline, now_ + timeout);
-    HttpRequest message = open.message;
-    const auto left = std::chrono::duration_cast<milliseconds>(expires - now);
-    message.set("X-Budget-Ms", std::to_string(std::max<std::int64_t>(1, left.count())));
-    upstreams_.send(attempt, upstream, std::move(message), expires, send_by);
+    upstreams_.send(attempt, upstream, open.message, expires, send_by);
 }
 
 void Host::refuse(RequestId request, Micros retry_after) {
--- a/src/net/upstreams.cpp
+++ b/src/net/upstreams.cpp
@@ -65,9 +65,9 @@
     Time idle_since() const { return since_; }
     bool is_quiet() { return buffer_.size() == 0 && quiet(socket_); }
 
-    void connect(const tcp::endpoint& address, AttemptKey attempt, std::string bytes, Time expires,
+    void connect(const tcp::endpoint& address, AttemptKey attempt, HttpRequest request, Time expires,
                  Time send_by) {
-        begin(attempt, std::move(bytes), expires, send_by);
+        begin(attempt, std::move(request), expires, send_by);
         error_code error;
         socket_.open(address.protocol(), error);
         if (!error) socket_.non_blocking(true, error);
@@ -86,6 +86,7 @@
                 self->end(Outcome::connect_failed);
                 return;
             }
+            self->serialize();
             self->connected_ = true;
             Figures& figures = self->owner_.figures_;
             ++figures.made;
@@ -97,9 +98,10 @@
         });
     }
 
-    void reuse(AttemptKey attempt, std::string bytes, Time expires, Time send_by) {
+    void reuse(AttemptKey attempt, HttpRequest request, Time expires, Time send_by) {
         reused_ = true;
-        begin(attempt, std::move(bytes), expires, send_by);
+        begin(attempt, std::move(request), expires, send_by);
+        serialize();
         write();
     }
 
@@ -130,16 +132,27 @@
     }
 
 private:
-    void begin(AttemptKey attempt, std::string bytes, Time expires, Time send_by) {
+    void begin(AttemptKey attempt, HttpRequest request, Time expires, Time send_by) {
         attempt_ = attempt;
-        out_ = std::move(bytes);
-        written_ = 0;
+        request_ = std::move(request);
         since_ = owner_.clock_.now();
         expires_ = expires;
         send_by_ = std::min(send_by, expires);
         start_answer();
     }
 
+    // Not before the connection is up: the request tells how long it will be waited for from now on.
+    void serialize() {
+        if (attempt_->request != probe_request) {
+            const auto left =
+                std::chrono::duration_cast<std::chrono::milliseconds>(expires_ - owner_.clock_.now());
+            request_.set("X-Budget-Ms", std::to_string(std::max<std::int64_t>(1, left.count())));
+        }
+        out_ = to_bytes(request_);
+        written_ = 0;
+        request_ = {};
+    }
+
     void start_answer() {
         parser_.emplace();
         parser_->header_limit(header_most);
@@ -266,6 +279,7 @@
     beast::flat_buffer buffer_;
     std::optional<http::response_parser<http::string_body>> parser_;
     std::optional<AttemptKey> attempt_;
+    HttpRequest request_;  // until it is serialized
     std::string out_;
     std::size_t written_ = 0;
     Time since_{};  // when the attempt was sent, or when the connection was put by
@@ -316,11 +330,11 @@
     Pool& pool = found->second;
     if (Link link = take_idle(pool)) {
         attempts_.emplace(attempt, link);
-        link->reuse(attempt, to_bytes(request), expires, send_by);
+        link->reuse(attempt, std::move(request), expires, send_by);
     } else if (make_room()) {
         link = std::make_shared<Connection>(*this, upstream);
         attempts_.emplace(attempt, link);
-        link->connect(*pool.address, attempt, to_bytes(request), expires, send_by);
+        link->connect(*pool.address, attempt, std::move(request), expires, send_by);
     } else {
         report(attempt, upstream, Outcome::moot, now);
     }
--- a/src/net/upstreams.h
+++ b/src/net/upstreams.h
@@ -60,8 +60,8 @@
 
     void set_address(UpstreamId upstream, const boost::asio::ip::tcp::endpoint& address);
     void close_idle(UpstreamId upstream);
-    // Sends the request once; what has not come by `expires` is given up. What has not gone out whole by
-    // `send_by` ends as moot.
+    // Sends the request once, with the time up to `expires` in X-Budget-Ms; what has not come by then is
+    // given up. What has not gone out whole by `send_by` ends as moot.
     void send(AttemptKey attempt, UpstreamId upstream, HttpRequest request, Time expires, Time send_by);
     void cancel(AttemptKey attempt);
     // Takes back those of which the last byte has not been handed over: they end as moot.
--- a/tests/standing_terms_test.cpp
+++ b/tests/standing_terms_test.cpp
@@ -672,6 +672,39 @@
     EXPECT_EQ(status(s.answer(*client)), 200);
 }
 
+// The connection for the further attempt comes up late: its request is written only then.
+TEST(ToldTime, OfAFurtherAttemptIsWhatIsLeftWhenItsConnectionComesUp) {
+    constexpr milliseconds budget(5000), late(600), allowed(150);
+    Stage s;
+    allow_slow_connections(s);
+    s.config["settings"]["limits"]["max_attempts"] = 2;  // so that the last may take all that is left
+    Slow slow(s);
+    s.start();
+    std::shared_ptr<Wire> client;
+    Steady::time_point sent;
+    for (bool further = false; !further;) {  // until one goes to the other upstream first
+        client = s.client();
+        sent = Steady::now();
+        client->say(look(budget.count()));
+        settle(s);
+        further = !s.nothing_sent();
+        if (!further) client->close();
+    }
+    s.request().first->say(turned_away);
+    wait_for(s, late);
+    const auto left = budget - (Steady::now() - sent);
+    slow.let(s);
+    std::string request;
+    s.until([&] {
+        for (const auto& wire : slow.wires) {
+            if (const auto at = wire->in.find("GET "); at != std::string::npos) request = wire->in.substr(at);
+        }
+        return has(request, "\r\n\r\n");
+    });
+    EXPECT_GT(told_budget(request), milliseconds(0));
+    EXPECT_LE(told_budget(request), left + allowed);
+}
+
 // ----------------------------------------------------------------------------------- clients that have gone
 
 // A burst of clients goes while no upstream is known; then one is.
