Add a test, red, of a body in an unknown transfer coding: it must not reach an upstream

Seen: "Transfer-Encoding: gzip" with "Content-Length: 4" is taken as a request and sent on, with the body as long as the length says. HTTP/1.1 requires an error and a close: where such a body ends is not known.

Cause: Clients::Connection::take asks the parser alone, which refuses only chunked beside a length; nothing looks at other codings, and strip_hop_by_hop then drops the header.

Not mended here.

--- a/tests/standing_terms_test.cpp
+++ b/tests/standing_terms_test.cpp
@@ -531,6 +531,21 @@
     }
 }
 
+// Where such a body ends is not known, whatever its length says: what follows could be taken for a request.
+TEST(Rubbish, ABodyInAnUnknownTransferCodingIsRefused) {
+    Stage s;
+    s.start();
+    const auto client = s.client();
+    client->say(
+        "POST /api HTTP/1.1\r\nHost: x\r\nX-Call-Id: c\r\nX-Call-Class: once\r\nX-Budget-Ms: 5000\r\n"
+        "Transfer-Encoding: gzip\r\nContent-Length: 4\r\n\r\nbody");
+    settle(s);
+    for (const auto& upstream : s.upstreams) {
+        for (const auto& wire : upstream->wires) ADD_FAILURE() << "reached an upstream: " << wire->in;
+    }
+    EXPECT_GE(status(client->in), 400);
+}
+
 // A peer that goes on sending whatever it is answered.
 class Flood {
 public:
