Split the discovery client: lists, one call, and the client itself

Change: parse_list and what it needs stand in discovery_list, the call in discovery_call (class DiscoveryCall, which reports to DiscoveryCallEvents and knows nothing of versions). An empty line of a watch is an event of its own. No behaviour changes.

--- a/src/net/config.h
+++ b/src/net/config.h
@@ -9,7 +9,7 @@
 #include <vector>
 
 #include "flaxdoor/decide.h"
-#include "net/discovery.h"
+#include "net/discovery_list.h"
 
 namespace flaxdoor::net {
 
--- a/src/net/discovery.h
+++ b/src/net/discovery.h
@@ -1,4 +1,4 @@
-// Discovery: the watch on changes and the call for the whole list, and the names they use turned into ids.
+// Discovery: the watch on changes, the call for the whole list, and which of the lists that come are taken.
 #pragma once
 
 #include <boost/asio/io_context.hpp>
@@ -7,37 +7,12 @@
 #include <memory>
 #include <string>
 #include <string_view>
-#include <vector>
 
-#include "flaxdoor/decide.h"
+#include "net/discovery_call.h"
+#include "net/discovery_list.h"
 
 namespace flaxdoor::net {
 
-// Zones and kinds of machine, as the settings name them.
-struct ListNames {
-    std::vector<std::string> zones;
-    std::vector<std::string> kinds;
-};
-
-struct ListedUpstream {
-    UpstreamEntry entry;
-    std::string name;
-    boost::asio::ip::tcp::endpoint address;
-};
-
-struct List {
-    std::uint64_t version = 0;
-    bool whole = false;
-    std::vector<ListedUpstream> upstreams;
-};
-
-// The id of an upstream: drawn from its name alone, so that it is the same at every balancer. The policy
-// orders upstreams by id and relies on all balancers having the same order.
-UpstreamId id_of(std::string_view name);
-
-// Throws when the text is not a list in discovery's form.
-List parse_list(std::string_view text, const ListNames& names);
-
 class DiscoveryEvents {
 public:
     virtual ~DiscoveryEvents() = default;
@@ -46,11 +21,11 @@
     virtual void on_watch_silent() = 0;  // its call has been answered or not; it is over
 };
 
-class Discovery {
+class Discovery final : private DiscoveryCallEvents {
 public:
     Discovery(boost::asio::io_context& loop, boost::asio::ip::tcp::endpoint address, ListNames names,
               DiscoveryEvents& events);
-    ~Discovery();
+    ~Discovery() override;
 
     void start_from(std::uint64_t version) { version_ = version; }
     void watch();  // resumes after the last version heard; nothing while a watch is open
@@ -61,9 +36,11 @@
     void stop();
 
 private:
-    class Call;
-    bool hear(std::string_view text, bool watching, bool first);
-    void ended(Call& call, const char* why, bool silent);
+    void on_call_alive(DiscoveryCall& call) override;
+    bool on_call_text(DiscoveryCall& call, std::string_view text) override;
+    void on_call_ended(DiscoveryCall& call, const char* why, bool silent) override;
+    std::shared_ptr<DiscoveryCall> start_call(DiscoveryCall::Kind kind, const std::string& target);
+    void take(List list);
     void log_failure(const std::string& what);
 
     boost::asio::io_context& loop_;
@@ -71,10 +48,11 @@
     const ListNames names_;
     DiscoveryEvents& events_;
     std::uint64_t version_ = 0;
-    bool failing_ = false;  // no list since the last failure, which has been logged
-    bool wanted_ = false;   // a watch has been asked for, and may have failed since
-    std::shared_ptr<Call> watch_;
-    std::shared_ptr<Call> fetch_;
+    bool failing_ = false;         // no list since the last failure, which has been logged
+    bool wanted_ = false;          // a watch has been asked for, and may have failed since
+    bool watch_answered_ = false;  // the watch under way has said something
+    std::shared_ptr<DiscoveryCall> watch_;
+    std::shared_ptr<DiscoveryCall> fetch_;
 };
 
 }  // namespace flaxdoor::net
--- /dev/null
+++ b/src/net/discovery_call.cpp
@@ -0,0 +1,149 @@
+#include "net/discovery_call.h"
+
+#include <chrono>
+#include <utility>
+
+#include "flaxdoor/decide.h"
+
+namespace flaxdoor::net {
+
+namespace {
+
+// Against a line that never ends. Memory is taken as it comes: an upstream takes 150 bytes, indented twice
+// that.
+constexpr std::size_t line_most = 2 * 1024 * 1024;
+constexpr std::size_t read_size = 16 * 1024;
+
+bool blank(std::string_view text) { return text.find_first_not_of(" \t\r\n") == std::string_view::npos; }
+
+// Brackets opened less brackets closed in a line of JSON.
+int nesting_of(std::string_view line) {
+    int nesting = 0;
+    bool quoted = false;
+    for (std::size_t i = 0; i < line.size(); ++i) {
+        const char c = line[i];
+        if (quoted && c == '\\') {
+            ++i;
+        } else if (c == '"') {
+            quoted = !quoted;
+        } else if (!quoted) {
+            nesting += (c == '{' || c == '[') - (c == '}' || c == ']');
+        }
+    }
+    return nesting;
+}
+
+}  // namespace
+
+DiscoveryCall::DiscoveryCall(asio::io_context& loop, Kind kind, std::string target,
+                             DiscoveryCallEvents& events)
+    : kind_(kind), target_(std::move(target)), events_(events), socket_(loop), silence_(loop) {
+    parser_.header_limit(header_most);
+    parser_.body_limit(boost::none);  // a watch never ends; its lines are bounded
+    parser_.eager(true);
+}
+
+void DiscoveryCall::start(const tcp::endpoint& address) {
+    await_news();
+    socket_.async_connect(address, [self = shared_from_this()](error_code error) {
+        if (self->over_) return;
+        if (error) return self->end("no connection");
+        self->ask();
+    });
+}
+
+void DiscoveryCall::drop() {
+    over_ = true;
+    silence_.cancel();
+    error_code ignored;
+    socket_.close(ignored);
+}
+
+void DiscoveryCall::end(const char* why, bool silent) {
+    if (over_) return;
+    drop();
+    events_.on_call_ended(*this, why, silent);
+}
+
+void DiscoveryCall::await_news() {
+    silence_.expires_after(watch_silence);
+    silence_.async_wait([self = shared_from_this()](error_code error) {
+        if (error || self->over_ || self->silence_.expiry() > std::chrono::steady_clock::now()) return;
+        // Guards against a loop that is behind: what has come in meanwhile is about to be read.
+        if (self->reading_ && !quiet(self->socket_)) return;
+        self->end("silence", self->kind_ == Kind::watch);
+    });
+}
+
+void DiscoveryCall::ask() {
+    error_code ignored;
+    socket_.set_option(tcp::no_delay(true), ignored);
+    HttpRequest request(http::verb::get, target_, 11);
+    request.set(http::field::host, "discovery");
+    out_ = to_bytes(request);
+    asio::async_write(socket_, asio::buffer(out_), [self = shared_from_this()](error_code error, auto) {
+        if (error) self->end("broken");
+    });
+    reading_ = true;
+    read();
+}
+
+void DiscoveryCall::read() {
+    socket_.async_read_some(buffer_.prepare(read_size),
+                            [self = shared_from_this()](error_code error, std::size_t got) {
+                                if (self->over_) return;
+                                self->buffer_.commit(got);
+                                self->take(error);
+                            });
+}
+
+void DiscoveryCall::take(error_code ended) {
+    error_code error;
+    if (buffer_.size() > 0) buffer_.consume(parser_.put(buffer_.data(), error));
+    if (error && error != http::error::need_more) return end("malformed answer");
+    if (ended == asio::error::eof && parser_.got_some() && !parser_.is_done()) parser_.put_eof(error);
+    if (parser_.is_header_done()) {
+        if (parser_.get().result() != http::status::ok) return end("turned away");
+        lines_.append(parser_.get().body());
+        parser_.get().body().clear();
+        if (!(kind_ == Kind::watch ? take_lines() : take_list())) return;
+    }
+    if (parser_.is_done() || ended) return end("ended");
+    await_news();
+    read();
+}
+
+// False when the call is over. An object stands on one line or is indented over several, and ends with the
+// line that closes its last bracket. An empty line tells that one begun before it will not be finished.
+bool DiscoveryCall::take_lines() {
+    std::size_t begin = 0;
+    for (std::size_t end = 0; (end = lines_.find('\n', line_)) != std::string::npos; line_ = end + 1) {
+        const auto line = std::string_view(lines_).substr(line_, end - line_);
+        open_brackets_ += nesting_of(line);
+        if (open_brackets_ > 0 && !blank(line)) continue;
+        if (!hand_on(std::string_view(lines_).substr(begin, end - begin))) return false;
+        open_brackets_ = 0;
+        begin = end + 1;
+    }
+    lines_.erase(0, begin);
+    line_ -= begin;
+    return bounded();
+}
+
+bool DiscoveryCall::take_list() { return parser_.is_done() ? hand_on(lines_) : bounded(); }
+
+bool DiscoveryCall::hand_on(std::string_view text) {
+    if (kind_ == Kind::watch && blank(text)) {
+        events_.on_call_alive(*this);
+    } else if (!events_.on_call_text(*this, text)) {
+        end("malformed list");
+    }
+    return !over_;
+}
+
+bool DiscoveryCall::bounded() {
+    if (lines_.size() > line_most) end("line too long");
+    return !over_;
+}
+
+}  // namespace flaxdoor::net
