--- /dev/null
+++ b/tests/discovery_test.cpp
@@ -0,0 +1,243 @@
+// The discovery client against a scripted discovery on loopback: which lists are taken, and when it calls.
+#include <gtest/gtest.h>
+
+#include "peers.h"
+
+namespace flaxdoor::test {
+
+namespace {
+
+// The policy asks for its first timers while it is made: the host's queue must be there by then.
+TEST(Discovery, WatchesFromTheKnownVersion) {
+    Stage s;
+    s.start();
+    s.until([&] { return !s.discovery.wires.empty() && has(s.discovery.wires[0]->in, "\r\n\r\n"); });
+    EXPECT_TRUE(has(s.discovery.wires[0]->in, "GET /v1/endpoints?stream=1&index=7 HTTP/1.1\r\n"));
+}
+
+std::string chunk(const std::string& text) {
+    std::ostringstream size;
+    size << std::hex << text.size();
+    return size.str() + "\r\n" + text + "\r\n";
+}
+
+const char* const watch_head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+// Whatever way a watch ends, the next one resumes after the last version heard.
+// Guards against a log filled by a discovery that is down for long.
+TEST(Discovery, AFailureIsLoggedOnceUntilItAnswersAgain) {
+    Stage s;
+    testing::internal::CaptureStderr();
+    s.start();
+    auto& calls = s.discovery.wires;
+    for (std::size_t n = 1; n <= 4; ++n) {
+        s.until([&] { return calls.size() >= n && has(calls[n - 1]->in, "\r\n\r\n"); });
+        if (n < 4) calls[n - 1]->say("HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n");
+    }
+    calls[3]->say(watch_head + chunk(s.list(9, false).dump() + "\n"));
+    calls[3]->close();
+    s.until([&] { return calls.size() >= 5; });
+    const std::string log = testing::internal::GetCapturedStderr();
+    const auto count = [&](const std::string& what) {
+        std::size_t found = 0;
+        for (auto at = log.find(what); at != std::string::npos; at = log.find(what, at + 1)) ++found;
+        return found;
+    };
+    EXPECT_EQ(count("watch failed"), 2u) << log;  // before it answered and after
+    EXPECT_EQ(count("answers again"), 1u) << log;
+}
+
+TEST(Discovery, ResumesAWatchThatFailed) {
+    for (const std::string end : {"cut", "503", "nonsense", "bad line", "unfinished line", "unknown state"}) {
+        Stage s;
+        s.start();
+        auto& calls = s.discovery.wires;
+        const auto asked = [&](std::size_t n) {
+            return calls.size() >= n && has(calls[n - 1]->in, "\r\n\r\n");
+        };
+        s.until([&] { return asked(1); });
+        json news = s.list(9, false);
+        calls[0]->say(watch_head + chunk(news.dump().substr(0, 20)) + chunk(news.dump().substr(20) + "\n"));
+        calls[0]->say(chunk("\n"));
+        std::size_t failed = 1;
+        if (end == "503" || end == "nonsense") {
+            calls[0]->close();
+            s.until([&] { return asked(2); });
+            calls[1]->say(end == "503" ? "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n"
+                                       : "nonsense\r\n\r\n");
+            failed = 2;
+        } else if (end == "cut") {
+            calls[0]->close();
+        } else if (end == "bad line") {
+            calls[0]->say(chunk("{\"seq\":11,}\n"));
+        } else if (end == "unfinished line") {
+            calls[0]->say(chunk("{\"seq\":11,\n") + chunk("\n"));
+        } else {
+            news["seq"] = 11;
+            news["hosts"][0]["health"] = "nowhere";
+            calls[0]->say(chunk(news.dump() + "\n"));
+        }
+        s.until([&] { return asked(failed + 1); });
+        EXPECT_TRUE(has(calls[failed]->in, "index=9 ")) << end;
+    }
+}
+
+// A watch falls silent after its first words, or the call for it before any answer. The list has to be asked
+// for anew before what it misses counts as told, 6 s after its last word, also where the policy's own gap
+// after a failed call is long.
+TEST(Discovery, ASilentWatchIsBegunAnewBeforeItsNewsCountAsTold) {
+    for (const auto& [mode, spoke] :
+         {std::pair{"ask", true}, {"ask", false}, {"push", true}, {"push", false}}) {
+        Stage s;
+        s.config["settings"]["registry_mode"] = mode;
+        s.config["settings"]["invariants"]["ask_within"] = 10000.0;
+        s.start();
+        auto& calls = s.discovery.wires;
+        s.until([&] { return !calls.empty() && has(calls[0]->in, "\r\n\r\n"); });
+        if (spoke) calls[0]->say(watch_head + chunk(s.list(9, false).dump() + "\n"));
+        asio::steady_timer told(s.loop, std::chrono::seconds(6));
+        bool late = false;
+        told.async_wait([&](auto) { late = true; });
+        s.until([&] { return late || (calls.size() >= 2 && has(calls[1]->in, "\r\n\r\n")); });
+        EXPECT_FALSE(late) << mode << spoke;
+        EXPECT_TRUE(calls[0]->ended) << mode << spoke;
+        EXPECT_TRUE(has(calls.back()->in, spoke ? "index=9 " : "index=7 ")) << mode;
+        s.host.reset();
+    }
+}
+
+// Far more upstreams than today's, and as many balancers, told by the file, as a whole list and on a watch
+// that indents: none is left out, and memory is taken by need.
+TEST(Discovery, ElevenHundredUpstreamsAndBalancersAreServed) {
+    Stage s;
+    s.config["settings"]["siblings"] = 1100;
+    s.config["settings"]["rank"] = 1099;
+    s.start();
+    s.until([&] { return !s.discovery.wires.empty() && has(s.discovery.wires[0]->in, "\r\n\r\n"); });
+    json news = s.list(9, true);
+    for (auto& host : news["hosts"]) host["health"] = "leaving";
+    for (int i = 2; i < 1100; ++i) {
+        news["hosts"].push_back(s.upstream(1));
+        news["hosts"].back()["host"] = "a-name-as-long-as-they-get-" + std::to_string(i);
+    }
+    s.discovery.wires[0]->say(watch_head + chunk(news.dump(8) + "\n"));
+    news = s.list(10, false);
+    news["hosts"] = {s.upstream(0, "left")};
+    s.discovery.wires[0]->say(chunk(news.dump() + "\n"));
+    const auto client = s.client();
+    client->say(look());
+    s.request().first->say(ok());
+    EXPECT_EQ(status(s.answer(*client)), 200);
+    s.discovery.wires[0]->close();
+    s.until([&] { return s.discovery.wires.size() == 2 && has(s.discovery.wires[1]->in, "\r\n\r\n"); });
+    EXPECT_TRUE(has(s.discovery.wires[1]->in, "index=10 "));  // all of it has been taken
+}
+
+// However many calls were refused or broken, and though the next one is given up: a change that discovery has
+// from then on is asked for before it counts as told.
+TEST(Discovery, CallsThatFailedDoNotDelayTheNextBeyondWhatCountsAsTold) {
+    Stage s;
+    s.config["settings"]["invariants"]["ask_within"] = 10000.0;
+    s.start();
+    auto& calls = s.discovery.wires;
+    const auto called = [&](std::size_t n) { return calls.size() >= n && has(calls[n - 1]->in, "\r\n\r\n"); };
+    for (std::size_t n = 1; n <= 3; ++n) {
+        s.until([&] { return called(n); });
+        if (n == 2) {
+            calls[n - 1]->reset();
+        } else {
+            calls[n - 1]->say("HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n");
+        }
+    }
+    s.until([&] { return called(4); });  // it is not answered
+    asio::steady_timer told(s.loop, std::chrono::seconds(6));
+    bool late = false;
+    told.async_wait([&](auto) { late = true; });
+    s.until([&] { return late || called(5); });
+    EXPECT_FALSE(late);
+}
+
+// An object may be indented over many lines, whatever pieces it comes in, with brackets in its names.
+TEST(Discovery, ListsThatSpanLinesAreTaken) {
+    for (const int indent : {0, 2}) {
+        Stage s;
+        s.start();
+        auto& calls = s.discovery.wires;
+        s.until([&] { return !calls.empty() && has(calls[0]->in, "\r\n\r\n"); });
+        json news = s.list(9, false);
+        news["hosts"] = {s.upstream(0, "leaving")};
+        news["hosts"][0]["note"] = "}]\\\"{";
+        const std::string text = news.dump(indent) + "\r\n";
+        calls[0]->say(watch_head + chunk(text.substr(0, 30)) + chunk(text.substr(30, 60)) +
+                      chunk(text.substr(90)));
+        calls[0]->say(chunk("\n") + chunk("\r\n"));
+        const auto client = s.client();
+        client->say("GET /ready HTTP/1.1\r\nHost: x\r\n\r\n");
+        s.answer(*client);
+        for (int i = 0; i < 6; ++i) {
+            client->say(look());
+            s.request().first->say(ok());
+            EXPECT_EQ(status(s.answer(*client)), 200);
+        }
+        EXPECT_TRUE(s.upstreams[0]->wires.empty()) << indent;
+        EXPECT_FALSE(calls[0]->ended);
+        s.host.reset();
+    }
+}
+
+// Discovery that has moved is asked at its new address at once, from the version last heard, whether the old
+// watch still stood or had failed; to the policy it is the same watch.
+TEST(Discovery, IsFollowedToAnotherAddress) {
+    for (const bool stood : {true, false}) {
+        Stage s;
+        s.config["settings"]["invariants"]["ask_within"] = 100000.0;  // no call of the policy's own meanwhile
+        s.start();
+        s.host->reconfigure(net::parse_config(s.config.dump()));  // nothing has changed
+        auto& calls = s.discovery.wires;
+        s.until([&] { return !calls.empty() && has(calls[0]->in, "\r\n\r\n"); });
+        calls[0]->say(watch_head + chunk(s.list(9, false).dump() + "\n"));
+        if (!stood) calls[0]->close();
+        const auto client = s.client();  // served: the list and the end of the call have been seen by then
+        client->say(look());
+        s.request().first->say(ok());
+        EXPECT_EQ(status(s.answer(*client)), 200);
+        EXPECT_EQ(calls.size(), 1U);
+        Listener moved(s.loop);
+        s.config["discovery"] = text_of(moved.address());
+        s.host->reconfigure(net::parse_config(s.config.dump()));
+        s.until([&] { return !moved.wires.empty() && has(moved.wires[0]->in, "\r\n\r\n"); });
+        EXPECT_TRUE(has(moved.wires[0]->in, "GET /v1/endpoints?stream=1&index=9 HTTP/1.1\r\n")) << stood;
+        if (stood) s.until([&] { return calls[0]->ended; });
+        s.host.reset();
+    }
+}
+
+// What a watch says of an upstream holds from then on: one that leaves gets nothing new.
+TEST(Discovery, ListsArePassedOn) {
+    Stage s;
+    s.start();
+    auto& calls = s.discovery.wires;
+    s.until([&] { return !calls.empty() && has(calls[0]->in, "\r\n\r\n"); });
+    json news = s.list(9, false);
+    news["hosts"] = {s.upstream(0, "leaving")};
+    calls[0]->say(watch_head + chunk(news.dump() + "\n") + chunk("\n"));
+    const auto client = s.client();
+    client->say("GET /ready HTTP/1.1\r\nHost: x\r\n\r\n");
+    s.answer(*client);
+    for (int i = 0; i < 6; ++i) {
+        client->say(look());
+        s.request().first->say(ok());
+        EXPECT_EQ(status(s.answer(*client)), 200);
+    }
+    EXPECT_TRUE(s.upstreams[0]->wires.empty());
+}
+
+// All balancers must give an upstream the same id: the policy's order of upstreams rests on it.
+TEST(Discovery, IdsComeFromNamesAlone) {
+    EXPECT_EQ(net::id_of("s-5be2a07c"), net::id_of("s-5be2a07c"));
+    EXPECT_NE(net::id_of("s-5be2a07c"), net::id_of("s-5be2a07d"));
+    EXPECT_EQ(net::id_of("a"), 0xaf63dc4c8601ec8cULL);
+}
+
+}  // namespace
+}  // namespace flaxdoor::test
