Log spells of failed calls to discovery by cause and wait

Cause: the log told of the first failed call alone, without its wait: an overbooked discovery could not be told from one that is down. A plain call that was cut reported nothing to whoever asked.

Causes are a type; a plain call that is cut has failed.

--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -1,5 +1,6 @@
 #include "net/discovery.h"
 
+#include <chrono>
 #include <exception>
 #include <utility>
 
@@ -60,47 +61,41 @@
     if (!std::exchange(watch_answered_, true)) take({version_, false, {}});
 }
 
-bool Discovery::on_call_text(DiscoveryCall& call, std::string_view text) {
+std::optional<CallProblem> Discovery::on_call_text(DiscoveryCall& call, std::string_view text) {
     const bool watching = watch_.get() == &call;
     if (watching) watch_answered_ = true;
     List list;
     try {
         list = parse_list(text, names_);
     } catch (const std::exception& error) {
-        log_failure(error.what());
-        return false;
+        return CallProblem{CallError::malformed_list, error.what()};
     }
-    if (!watching && list.version < version_) return true;  // the watch has overtaken this answer
+    if (!watching && list.version < version_) return std::nullopt;  // the watch has overtaken this answer
     // Versions only grow: an older one brings nothing but the word that the call has succeeded.
     if (list.version < version_) list = {version_, false, {}};
     take(std::move(list));
-    return true;
+    return std::nullopt;
 }
 
 void Discovery::take(List list) {
     version_ = list.version;
-    if (failing_) log("discovery: answers again");
-    failing_ = false;
+    if (const auto line = failures_.answered(std::chrono::steady_clock::now())) log(*line);
     events_.on_list(std::move(list));
 }
 
-// Once until it answers again: repeated calls that fail alike would fill the log.
-void Discovery::log_failure(const std::string& what) {
-    if (!failing_) log("discovery: " + what);
-    failing_ = true;
-}
-
-void Discovery::on_call_ended(DiscoveryCall& call, const char* why, bool silent) {
+void Discovery::on_call_failed(DiscoveryCall& call, const CallFailure& failure) {
     const bool watching = watch_.get() == &call;
-    const std::shared_ptr<DiscoveryCall> ended = std::move(watching ? watch_ : fetch_);
-    (watching ? watch_ : fetch_).reset();
-    if (!watching && std::string_view(why) == "ended") return;  // a call for the list that was answered
-    log_failure(std::string(watching ? "watch failed: " : "call failed: ") + why);
-    if (silent) {
+    const std::shared_ptr<DiscoveryCall> ended = std::exchange(watching ? watch_ : fetch_, nullptr);
+    const auto now = std::chrono::steady_clock::now();
+    if (const auto line = failures_.failed(now, watching ? "watch" : "call", failure)) log(*line);
+    const bool silent = failure.error == CallError::silence || failure.error == CallError::connect_timeout;
+    if (watching && silent) {
         events_.on_watch_silent();
     } else {
         events_.on_list_failed();
     }
 }
 
+void Discovery::on_call_answered(DiscoveryCall&) { fetch_.reset(); }
+
 }  // namespace flaxdoor::net
--- a/src/net/discovery.h
+++ b/src/net/discovery.h
@@ -5,9 +5,11 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
+#include "net/call_failures.h"
 #include "net/discovery_call.h"
 #include "net/discovery_list.h"
 
@@ -37,18 +39,18 @@
 
 private:
     void on_call_alive(DiscoveryCall& call) override;
-    bool on_call_text(DiscoveryCall& call, std::string_view text) override;
-    void on_call_ended(DiscoveryCall& call, const char* why, bool silent) override;
+    std::optional<CallProblem> on_call_text(DiscoveryCall& call, std::string_view text) override;
+    void on_call_failed(DiscoveryCall& call, const CallFailure& failure) override;
+    void on_call_answered(DiscoveryCall& call) override;
     std::shared_ptr<DiscoveryCall> start_call(DiscoveryCall::Kind kind, const std::string& target);
     void take(List list);
-    void log_failure(const std::string& what);
 
     boost::asio::io_context& loop_;
     boost::asio::ip::tcp::endpoint address_;
     const ListNames names_;
     DiscoveryEvents& events_;
     std::uint64_t version_ = 0;
-    bool failing_ = false;         // no list since the last failure, which has been logged
+    CallFailures failures_;        // since the last answer
     bool wanted_ = false;          // a watch has been asked for, and may have failed since
     bool watch_answered_ = false;  // the watch under way has said something
     std::shared_ptr<DiscoveryCall> watch_;
--- a/src/net/discovery_call.cpp
+++ b/src/net/discovery_call.cpp
@@ -1,6 +1,5 @@
 #include "net/discovery_call.h"
 
-#include <chrono>
 #include <utility>
 
 #include "flaxdoor/decide.h"
@@ -47,7 +46,7 @@
     await_news();
     socket_.async_connect(address, [self = shared_from_this()](error_code error) {
         if (self->over_) return;
-        if (error) return self->end("no connection");
+        if (error) return self->fail(CallError::no_connection);
         self->ask();
     });
 }
@@ -59,19 +58,25 @@
     socket_.close(ignored);
 }
 
-void DiscoveryCall::end(const char* why, bool silent) {
+void DiscoveryCall::fail(CallError error, const std::string& detail) {
     if (over_) return;
     drop();
-    events_.on_call_ended(*this, why, silent);
+    events_.on_call_failed(*this, {error, std::chrono::steady_clock::now() - last_word_, detail});
+}
+
+void DiscoveryCall::finish() {
+    drop();
+    events_.on_call_answered(*this);
 }
 
 void DiscoveryCall::await_news() {
-    silence_.expires_after(watch_silence);
+    last_word_ = std::chrono::steady_clock::now();
+    silence_.expires_at(last_word_ + watch_silence);
     silence_.async_wait([self = shared_from_this()](error_code error) {
         if (error || self->over_ || self->silence_.expiry() > std::chrono::steady_clock::now()) return;
         // Guards against a loop that is behind: what has come in meanwhile is about to be read.
-        if (self->reading_ && !quiet(self->socket_)) return;
-        self->end("silence", self->kind_ == Kind::watch);
+        if (self->connected_ && !quiet(self->socket_)) return;
+        self->fail(self->connected_ ? CallError::silence : CallError::connect_timeout);
     });
 }
 
@@ -82,9 +87,9 @@
     request.set(http::field::host, "discovery");
     out_ = to_bytes(request);
     asio::async_write(socket_, asio::buffer(out_), [self = shared_from_this()](error_code error, auto) {
-        if (error) self->end("broken");
+        if (error) self->fail(CallError::broken);
     });
-    reading_ = true;
+    connected_ = true;
     read();
 }
 
@@ -100,15 +105,18 @@
 void DiscoveryCall::take(error_code ended) {
     error_code error;
     if (buffer_.size() > 0) buffer_.consume(parser_.put(buffer_.data(), error));
-    if (error && error != http::error::need_more) return end("malformed answer");
+    if (error && error != http::error::need_more) return fail(CallError::malformed_answer);
     if (ended == asio::error::eof && parser_.got_some() && !parser_.is_done()) parser_.put_eof(error);
     if (parser_.is_header_done()) {
-        if (parser_.get().result() != http::status::ok) return end("turned away");
+        if (parser_.get().result() != http::status::ok) return fail(CallError::turned_away);
         lines_.append(parser_.get().body());
         parser_.get().body().clear();
         if (!(kind_ == Kind::watch ? take_lines() : take_list())) return;
     }
-    if (parser_.is_done() || ended) return end("ended");
+    if (parser_.is_done() && kind_ == Kind::list) return finish();
+    if (parser_.is_done() || ended) {
+        return fail(parser_.got_some() ? CallError::ended : CallError::unanswered);
+    }
     await_news();
     read();
 }
@@ -135,14 +143,14 @@
 bool DiscoveryCall::hand_on(std::string_view text) {
     if (kind_ == Kind::watch && blank(text)) {
         events_.on_call_alive(*this);
-    } else if (!events_.on_call_text(*this, text)) {
-        end("malformed list");
+    } else if (const auto problem = events_.on_call_text(*this, text)) {
+        fail(problem->error, problem->detail);
     }
     return !over_;
 }
 
 bool DiscoveryCall::bounded() {
-    if (lines_.size() > line_most) end("line too long");
+    if (lines_.size() > line_most) fail(CallError::line_too_long);
     return !over_;
 }
 
--- a/src/net/discovery_call.h
+++ b/src/net/discovery_call.h
@@ -4,26 +4,37 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <chrono>
 #include <cstddef>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
+#include "net/call_failures.h"
 #include "net/http.h"
 
 namespace flaxdoor::net {
 
 class DiscoveryCall;
 
+// What is wrong with an object.
+struct CallProblem {
+    CallError error = CallError::malformed_list;
+    std::string detail;
+};
+
 class DiscoveryCallEvents {
 public:
     virtual ~DiscoveryCallEvents() = default;
     // An empty line of a watch: nothing has changed.
     virtual void on_call_alive(DiscoveryCall& call) = 0;
-    // The text of one object. Returns whether it was understood; if not, the call ends.
-    virtual bool on_call_text(DiscoveryCall& call, std::string_view text) = 0;
-    // The last news of a call. `silent`: it is a watch that has said nothing for `watch_silence`.
-    virtual void on_call_ended(DiscoveryCall& call, const char* why, bool silent) = 0;
+    // The text of one object. Returns what is wrong with it, which ends the call, or nothing.
+    virtual std::optional<CallProblem> on_call_text(DiscoveryCall& call, std::string_view text) = 0;
+    // The last news of a call that failed. A watch only ever fails; it has no other end.
+    virtual void on_call_failed(DiscoveryCall& call, const CallFailure& failure) = 0;
+    // The last news of a plain call that was answered in full.
+    virtual void on_call_answered(DiscoveryCall& call) = 0;
 };
 
 // Once it has ended or was dropped it reports nothing more.
@@ -39,7 +50,8 @@
     void drop();
 
 private:
-    void end(const char* why, bool silent = false);
+    void fail(CallError error, const std::string& detail = {});
+    void finish();
     void await_news();
     void ask();
     void read();
@@ -58,9 +70,10 @@
     beast::flat_buffer buffer_;
     http::response_parser<http::string_body> parser_;
     std::string lines_;
-    std::size_t line_ = 0;   // where the line begins that is not yet whole
-    int open_brackets_ = 0;  // in what has come before it
-    bool reading_ = false;
+    std::size_t line_ = 0;                             // where the line begins that is not yet whole
+    int open_brackets_ = 0;                            // in what has come before it
+    std::chrono::steady_clock::time_point last_word_;  // or the start of the call
+    bool connected_ = false;
     bool over_ = false;
 };
 
