Tell the policy when no connection to discovery came up

Cause: a call without a connection was told as failed or silent, like one that discovery had turned away.

Change: the client reports failures by one typed event, and the host tells the policy ListKind::unreachable where the connection was refused or did not come up in time.

--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -8,6 +8,19 @@
 
 namespace flaxdoor::net {
 
+namespace {
+
+ListFailure failure_of(CallError error, bool watching) {
+    switch (error) {
+        case CallError::no_connection:
+        case CallError::connect_timeout: return ListFailure::unreachable;
+        case CallError::silence: return watching ? ListFailure::silent : ListFailure::failed;
+        default: return ListFailure::failed;
+    }
+}
+
+}  // namespace
+
 Discovery::Discovery(asio::io_context& loop, tcp::endpoint address, ListNames names, DiscoveryEvents& events)
     : loop_(loop), address_(std::move(address)), names_(std::move(names)), events_(events) {}
 
@@ -88,12 +101,7 @@
     const std::shared_ptr<DiscoveryCall> ended = std::exchange(watching ? watch_ : fetch_, nullptr);
     const auto now = std::chrono::steady_clock::now();
     if (const auto line = failures_.failed(now, watching ? "watch" : "call", failure)) log(*line);
-    const bool silent = failure.error == CallError::silence || failure.error == CallError::connect_timeout;
-    if (watching && silent) {
-        events_.on_watch_silent();
-    } else {
-        events_.on_list_failed();
-    }
+    events_.on_list_failed(failure_of(failure.error, watching));
 }
 
 void Discovery::on_call_answered(DiscoveryCall&) { fetch_.reset(); }
--- a/src/net/discovery.h
+++ b/src/net/discovery.h
@@ -15,12 +15,18 @@
 
 namespace flaxdoor::net {
 
+// How a call ended that brought no list, or a watch that brings no more.
+enum class ListFailure {
+    failed,       // turned away, broken off, or not understood
+    unreachable,  // no connection came up
+    silent,       // the connection stood, and the watch said nothing for `watch_silence`
+};
+
 class DiscoveryEvents {
 public:
     virtual ~DiscoveryEvents() = default;
     virtual void on_list(List list) = 0;
-    virtual void on_list_failed() = 0;
-    virtual void on_watch_silent() = 0;  // its call has been answered or not; it is over
+    virtual void on_list_failed(ListFailure failure) = 0;  // the call is over
 };
 
 class Discovery final : private DiscoveryCallEvents {
--- a/src/net/host.cpp
+++ b/src/net/host.cpp
@@ -48,6 +48,15 @@
     return response;
 }
 
+ListKind kind_of(ListFailure failure) {
+    switch (failure) {
+        case ListFailure::unreachable: return ListKind::unreachable;
+        case ListFailure::silent: return ListKind::silent;
+        case ListFailure::failed: break;
+    }
+    return ListKind::failed;
+}
+
 HttpResponse failure(http::status status) { return {status, 11}; }
 
 }  // namespace
@@ -265,19 +274,15 @@
     policy_.on_list(now, kind, entries, list.version);
 }
 
-void Host::on_list_failed() {
-    handle([this](Time now) { policy_.on_list(now, ListKind::failed, {}); });
+void Host::on_list_failed(ListFailure failure) {
+    handle([this, kind = kind_of(failure)](Time now) { policy_.on_list(now, kind, {}); });
+    if (failure == ListFailure::silent) return watch_again(Micros{0});
     // What the agent has counts as told whether or not a watch stands: the list is back well within the
     // grace.
     const Micros gap = std::clamp<Micros>(config_.settings.drain_grace / 8, rewatch_least, rewatch_most);
     watch_again(gap + gap * (std::random_device{}() % 1000) / 1000);
 }
 
-void Host::on_watch_silent() {
-    handle([this](Time now) { policy_.on_list(now, ListKind::silent, {}); });
-    watch_again(Micros{0});
-}
-
 // Where lists are pushed the policy does not ask, and the agent on this machine costs nothing.
 void Host::watch_again(Micros gap) {
     if (config_.settings.must_ask_list) return;
--- a/src/net/host.h
+++ b/src/net/host.h
@@ -79,8 +79,7 @@
     void on_connection(AttemptKey attempt) override;
     void on_probe_result(ProbeResult result) override;
     void on_list(List list) override;
-    void on_list_failed() override;
-    void on_watch_silent() override;
+    void on_list_failed(ListFailure failure) override;
 
     void send(RequestId request, UpstreamId upstream, Micros timeout, Time send_by);
     void answer(RequestId request, HttpResponse response);
--- a/tests/discovery_test.cpp
+++ b/tests/discovery_test.cpp
@@ -239,5 +239,89 @@
     EXPECT_EQ(net::id_of("a"), 0xaf63dc4c8601ec8cULL);
 }
 
+// ------------------------------------------------------------------------------- the client without its host
+
+// What the client reports, in order.
+class Reports final : public net::DiscoveryEvents {
+public:
+    void on_list(net::List list) override { lists.push_back(std::move(list)); }
+    void on_list_failed(net::ListFailure failure) override { failures.push_back(failure); }
+
+    std::vector<net::List> lists;
+    std::vector<net::ListFailure> failures;
+};
+
+const char* const refused = "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n";
+
+bool asked(const Listener& discovery, std::size_t n) {
+    return discovery.wires.size() >= n && has(discovery.wires[n - 1]->in, "\r\n\r\n");
+}
+
+// Nobody listens, or the queue of connections is full, so that one never comes up.
+TEST(DiscoveryClient, ACallWithoutAConnectionIsUnreachable) {
+    for (const bool silent : {false, true}) {
+        Stage s;
+        tcp::acceptor acceptor(s.loop);
+        acceptor.open(tcp::v4());
+        acceptor.bind(loopback());
+        const auto address = acceptor.local_endpoint();
+        std::vector<tcp::socket> in_line;
+        if (silent) {
+            acceptor.listen(0);
+            for (int i = 0; i < 4; ++i) {
+                in_line.emplace_back(s.loop);
+                in_line.back().async_connect(address, [](auto) {});
+            }
+        }
+        Reports reports;
+        net::Discovery client(s.loop, address, {}, reports);
+        client.watch();
+        s.until([&] { return !reports.failures.empty(); });
+        EXPECT_EQ(reports.failures, std::vector{net::ListFailure::unreachable}) << silent;
+    }
+}
+
+TEST(DiscoveryClient, SilenceOnAWatchThatStoodIsSilent) {
+    Stage s;
+    Reports reports;
+    net::Discovery client(s.loop, s.discovery.address(), {}, reports);
+    client.watch();
+    s.until([&] { return !reports.failures.empty(); });
+    EXPECT_EQ(reports.failures, std::vector{net::ListFailure::silent});
+}
+
+TEST(DiscoveryClient, OtherFailuresAreFailed) {
+    for (const std::string how : {"refused", "reset", "not HTTP", "not a list", "silent, not a watch"}) {
+        Stage s;
+        Reports reports;
+        net::Discovery client(s.loop, s.discovery.address(), {}, reports);
+        const bool watching = how != "silent, not a watch";
+        watching ? client.watch() : client.fetch();
+        s.until([&] { return asked(s.discovery, 1); });
+        const auto wire = s.discovery.wires[0];
+        if (how == "refused") wire->say(refused);
+        if (how == "reset") wire->reset();
+        if (how == "not HTTP") wire->say("nonsense\r\n\r\n");
+        if (how == "not a list") wire->say(watch_head + chunk("{}\n"));
+        s.until([&] { return !reports.failures.empty(); });
+        EXPECT_EQ(reports.failures, std::vector{net::ListFailure::failed}) << how;
+    }
+}
+
+// The one who asked has to learn that no list will come.
+TEST(DiscoveryClient, ACallForTheListThatIsCutIsAFailure) {
+    for (const std::string told : {"", "HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\n{\"seq\":"}) {
+        Stage s;
+        Reports reports;
+        net::Discovery client(s.loop, s.discovery.address(), {}, reports);
+        client.fetch();
+        s.until([&] { return asked(s.discovery, 1); });
+        s.discovery.wires[0]->say(told);
+        s.discovery.wires[0]->close();
+        s.until([&] { return !reports.failures.empty() || !reports.lists.empty(); });
+        EXPECT_EQ(reports.failures, std::vector{net::ListFailure::failed}) << told;
+    }
+}
+
 }  // namespace
 }  // namespace flaxdoor::test
