Leave the next call after a move of discovery to whoever asked

Cause: Discovery::move_to began calls itself, past the policy's own spacing of them.

Change: it drops what is under way and sets the address. The host tells the policy ListKind::moved and, where lists are pushed, begins the watch anew at once. A move to the same address changes nothing.

--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -27,7 +27,6 @@
 Discovery::~Discovery() { stop(); }
 
 void Discovery::watch() {
-    wanted_ = true;
     if (watch_) return;
     const std::string target = "/v1/endpoints?stream=1&index=" + std::to_string(version_);
     watch_answered_ = false;
@@ -35,7 +34,6 @@
 }
 
 void Discovery::unwatch() {
-    wanted_ = false;
     if (watch_) watch_->drop();
     watch_.reset();
 }
@@ -52,15 +50,11 @@
     return call;
 }
 
-// Guards against news missed while whoever asked waits out a gap after a failed call to the old address: the
-// watch is begun at once, and its first answer is as good as any.
-void Discovery::move_to(const tcp::endpoint& address) {
-    if (address == address_) return;
+bool Discovery::move_to(const tcp::endpoint& address) {
+    if (address == address_) return false;
     address_ = address;
-    const bool watching = wanted_, fetching = fetch_ != nullptr;
     stop();
-    if (watching) watch();
-    if (fetching) fetch();
+    return true;
 }
 
 void Discovery::stop() {
--- a/src/net/discovery.h
+++ b/src/net/discovery.h
@@ -39,8 +39,9 @@
     void watch();  // resumes after the last version heard; nothing while a watch is open
     void unwatch();
     void fetch();  // the whole list, once
-    // Discovery is found at another address from now on: what is under way there is begun anew.
-    void move_to(const boost::asio::ip::tcp::endpoint& address);
+    // Discovery is found at this address from now on. Where that is another one, drops what is under way
+    // without a report and returns true: it is for the caller to call anew.
+    bool move_to(const boost::asio::ip::tcp::endpoint& address);
     void stop();
 
 private:
@@ -57,7 +58,6 @@
     DiscoveryEvents& events_;
     std::uint64_t version_ = 0;
     CallFailures failures_;        // since the last answer
-    bool wanted_ = false;          // a watch has been asked for, and may have failed since
     bool watch_answered_ = false;  // the watch under way has said something
     std::shared_ptr<DiscoveryCall> watch_;
     std::shared_ptr<DiscoveryCall> fetch_;
--- a/src/net/host.cpp
+++ b/src/net/host.cpp
@@ -340,7 +340,10 @@
 void Host::reconfigure(const Config& config) {
     if (drained_) return;
     net::log("configuration read anew");
-    discovery_.move_to(config.discovery);
+    if (!discovery_.move_to(config.discovery)) return;
+    // Guards against news missed while a gap after a failed call to the old address is waited out.
+    handle([this](Time now) { policy_.on_list(now, ListKind::moved, {}); });
+    watch_again(Micros{0});
 }
 
 // For whoever looks into a bad day: a line every few seconds in which there was work.
--- a/tests/discovery_test.cpp
+++ b/tests/discovery_test.cpp
@@ -308,6 +308,25 @@
     }
 }
 
+// Whoever asked calls anew; a move to the same address leaves the call under way alone.
+TEST(DiscoveryClient, AMoveDropsWhatIsUnderWay) {
+    Stage s;
+    Reports reports;
+    net::Discovery client(s.loop, s.discovery.address(), {}, reports);
+    client.watch();
+    client.fetch();
+    s.until([&] { return asked(s.discovery, 1) && asked(s.discovery, 2); });
+    EXPECT_FALSE(client.move_to(s.discovery.address()));
+    Listener moved(s.loop);
+    EXPECT_TRUE(client.move_to(moved.address()));
+    s.until([&] { return s.discovery.wires[0]->ended && s.discovery.wires[1]->ended; });
+    EXPECT_TRUE(moved.wires.empty());
+    EXPECT_TRUE(reports.failures.empty());
+    client.watch();
+    s.until([&] { return asked(moved, 1); });
+    EXPECT_EQ(s.discovery.wires.size(), 2U);
+}
+
 // The one who asked has to learn that no list will come.
 TEST(DiscoveryClient, ACallForTheListThatIsCutIsAFailure) {
     for (const std::string told : {"", "HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\n{\"seq\":"}) {
