Take a whole list whose version has begun anew

Cause: after a restart of discovery, or at a new address, lists with lower versions were ignored for ever.

Change: the first object of a watch that is older than the version it resumed after is taken where it is whole, and its version replaces ours; changes end the call as failed, and the next one asks from 0. A first object that a plain call has merely overtaken brings nothing, as do later ones that go back.

--- a/src/net/call_failures.cpp
+++ b/src/net/call_failures.cpp
@@ -27,6 +27,7 @@
         case CallError::malformed_answer: return "malformed answer";
         case CallError::malformed_list: return "malformed list";
         case CallError::line_too_long: return "line too long";
+        case CallError::renumbered: return "changes to another list";
     }
     return "unknown";
 }
--- a/src/net/call_failures.h
+++ b/src/net/call_failures.h
@@ -25,6 +25,7 @@
     malformed_answer,  // not HTTP
     malformed_list,    // not in the form of a list
     line_too_long,
+    renumbered,  // changes to a list that was never heard: the versions have begun anew
 };
 
 std::string_view name_of(CallError error);
--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -30,6 +30,8 @@
     if (watch_) return;
     const std::string target = "/v1/endpoints?stream=1&index=" + std::to_string(version_);
     watch_answered_ = false;
+    watch_listed_ = false;
+    resumed_from_ = version_;
     watch_ = start_call(DiscoveryCall::Kind::watch, target);
 }
 
@@ -70,20 +72,44 @@
 
 std::optional<CallProblem> Discovery::on_call_text(DiscoveryCall& call, std::string_view text) {
     const bool watching = watch_.get() == &call;
-    if (watching) watch_answered_ = true;
     List list;
     try {
         list = parse_list(text, names_);
     } catch (const std::exception& error) {
         return CallProblem{CallError::malformed_list, error.what()};
     }
-    if (!watching && list.version < version_) return std::nullopt;  // the watch has overtaken this answer
-    // Versions only grow: an older one brings nothing but the word that the call has succeeded.
+    if (watching) return take_from_watch(std::move(list));
+    if (list.version >= version_) take(std::move(list));  // else the watch has overtaken this answer
+    return std::nullopt;
+}
+
+// A watch resumes after a version that discovery has told. Where its first object is older than that, the
+// versions have begun anew, as after a restart: a whole list is taken, and changes can't be applied to the
+// list that we have. Later on an older one brings nothing but the word that the call has succeeded, as does
+// one that a call for the whole list has overtaken meanwhile.
+std::optional<CallProblem> Discovery::take_from_watch(List list) {
+    watch_answered_ = true;
+    const bool first = !std::exchange(watch_listed_, true);
+    if (first && list.version < resumed_from_) {
+        std::string versions = std::to_string(list.version);
+        versions.append(" after ").append(std::to_string(resumed_from_));
+        forget_version();
+        if (!list.whole) return CallProblem{CallError::renumbered, versions};
+        log(std::string("discovery: versions have begun anew: ").append(versions));
+    }
     if (list.version < version_) list = {version_, false, {}};
     take(std::move(list));
     return std::nullopt;
 }
 
+// A call for the whole list that is under way may still answer in the old numbers: it is dropped, as the next
+// whole list comes from a watch.
+void Discovery::forget_version() {
+    version_ = 0;
+    if (fetch_) fetch_->drop();
+    fetch_.reset();
+}
+
 void Discovery::take(List list) {
     version_ = list.version;
     if (const auto line = failures_.answered(std::chrono::steady_clock::now())) log(*line);
--- a/src/net/discovery.h
+++ b/src/net/discovery.h
@@ -50,15 +50,19 @@
     void on_call_failed(DiscoveryCall& call, const CallFailure& failure) override;
     void on_call_answered(DiscoveryCall& call) override;
     std::shared_ptr<DiscoveryCall> start_call(DiscoveryCall::Kind kind, const std::string& target);
+    std::optional<CallProblem> take_from_watch(List list);
     void take(List list);
+    void forget_version();
 
     boost::asio::io_context& loop_;
     boost::asio::ip::tcp::endpoint address_;
     const ListNames names_;
     DiscoveryEvents& events_;
     std::uint64_t version_ = 0;
-    CallFailures failures_;        // since the last answer
-    bool watch_answered_ = false;  // the watch under way has said something
+    CallFailures failures_;           // since the last answer
+    bool watch_answered_ = false;     // the watch under way has said something
+    bool watch_listed_ = false;       // and that was an object
+    std::uint64_t resumed_from_ = 0;  // the version that it was asked to resume after
     std::shared_ptr<DiscoveryCall> watch_;
     std::shared_ptr<DiscoveryCall> fetch_;
 };
