Test versions that begin anew, late silence and bad answers of discovery

Cause: no test had a first whole list of another version, a drain told at a new address, a watch that falls silent late or within an object, repeated bad answers, or lists in pieces of a few bytes.

Change: tests of each in tests/discovery_test.cpp.

--- a/tests/discovery_test.cpp
+++ b/tests/discovery_test.cpp
@@ -1,4 +1,6 @@
 // The discovery client against a scripted discovery on loopback: which lists are taken, and when it calls.
+#include "net/discovery.h"
+
 #include <gtest/gtest.h>
 
 #include "peers.h"
@@ -342,5 +344,227 @@
     }
 }
 
+// --------------------------------------------------------------------------------- versions, and bad answers
+
+// Has every event that is on its way by now been handled? Each answer needs turns of the loop of its own.
+void settle(Stage& s) {
+    for (int i = 0; i < 3; ++i) {
+        const auto client = s.client();
+        client->say("GET /ready HTTP/1.1\r\nHost: x\r\n\r\n");
+        s.answer(*client);
+    }
+}
+
+// Six requests one after another are all served, none of them by the first upstream.
+void expect_none_to_first(Stage& s, const std::string& what) {
+    const auto client = s.client();
+    for (int i = 0; i < 6; ++i) {
+        client->say(look());
+        s.request().first->say(ok());
+        EXPECT_EQ(status(s.answer(*client)), 200) << what;
+    }
+    EXPECT_TRUE(s.upstreams[0]->wires.empty()) << what;
+}
+
+std::string list_of(Stage& s, int version, bool whole, const json& hosts) {
+    json list = s.list(version, whole);
+    list["hosts"] = hosts;
+    return list.dump() + "\n";
+}
+
+bool resumes_at(const Wire& wire, int version) {
+    return has(wire.in, "GET /v1/endpoints?stream=1&index=" + std::to_string(version) + " HTTP/1.1\r\n");
+}
+
+// An upstream drains, its watch ends, and the next one answers first with a whole list that does not name it,
+// whatever its version: a lower one tells that discovery's versions have begun anew.
+TEST(Versions, AWholeListThatAnswersFirstHoldsWhateverItsVersion) {
+    for (const int version : {12, 11, 3}) {
+        const std::string what = std::to_string(version);
+        Stage s;
+        s.start();
+        s.until([&] { return asked(s.discovery, 1); });
+        auto wire = s.discovery.wires[0];
+        wire->say(watch_head + chunk(list_of(s, 11, false, json::array({s.upstream(0, "leaving")}))));
+        wire->close();
+        s.until([&] { return asked(s.discovery, 2); });
+        wire = s.discovery.wires[1];
+        EXPECT_TRUE(resumes_at(*wire, 11)) << what;
+        wire->say(watch_head + chunk("\n") + chunk(list_of(s, version, true, json::array({s.upstream(1)}))));
+        settle(s);
+        expect_none_to_first(s, what);
+        wire->close();
+        s.until([&] { return asked(s.discovery, 3); });
+        EXPECT_TRUE(resumes_at(*s.discovery.wires[2], version)) << what;
+        s.host.reset();
+    }
+}
+
+// The same without a drain told before: only the whole list tells that the first upstream has gone.
+TEST(Versions, AnUpstreamThatOnlyAWholeListLeavesOutGetsNothing) {
+    for (const int version : {8, 7, 3}) {
+        Stage s;
+        s.start();
+        s.until([&] { return asked(s.discovery, 1); });
+        const auto list = list_of(s, version, true, json::array({s.upstream(1)}));
+        s.discovery.wires[0]->say(watch_head + chunk(list));
+        settle(s);
+        expect_none_to_first(s, std::to_string(version));
+        s.host.reset();
+    }
+}
+
+// What has begun anew goes on in the new numbers; and only the first answer may go back.
+TEST(Versions, LaterObjectsThatGoBackBringNothing) {
+    for (const bool whole : {false, true}) {
+        Stage s;
+        s.start();
+        s.until([&] { return asked(s.discovery, 1); });
+        s.discovery.wires[0]->say(watch_head +
+                                  chunk(list_of(s, 3, true, json::array({s.upstream(0), s.upstream(1)}))) +
+                                  chunk(list_of(s, 4, false, json::array({s.upstream(0, "leaving")}))) +
+                                  chunk(list_of(s, 2, whole, json::array({s.upstream(0)}))));
+        settle(s);
+        expect_none_to_first(s, whole ? "whole" : "changes");
+        EXPECT_FALSE(s.discovery.wires[0]->ended);
+        s.host.reset();
+    }
+}
+
+// Changes to a list that was never heard can't be applied: the whole one is asked for.
+TEST(Versions, ChangesThatAnswerFirstWithAnOlderVersionAreNotTaken) {
+    Stage s;
+    s.start();
+    s.until([&] { return asked(s.discovery, 1); });
+    s.discovery.wires[0]->say(watch_head +
+                              chunk(list_of(s, 3, false, json::array({s.upstream(1, "leaving")}))));
+    s.until([&] { return asked(s.discovery, 2); });
+    EXPECT_TRUE(s.discovery.wires[0]->ended);
+    EXPECT_TRUE(resumes_at(*s.discovery.wires[1], 0));
+    s.discovery.wires[1]->say(watch_head + chunk(list_of(s, 3, true, json::array({s.upstream(1)}))));
+    settle(s);
+    expect_none_to_first(s, "the whole list");
+}
+
+// A call for the whole list, begun with the watch, has told of a drain by the time that the watch's first
+// answer comes, which is older but not older than what the watch resumed after.
+TEST(Versions, AFirstAnswerThatACallHasOvertakenBringsNothing) {
+    Stage s;
+    Reports reports;
+    net::Discovery client(s.loop, s.discovery.address(), {}, reports);
+    client.start_from(7);
+    client.watch();
+    s.until([&] { return asked(s.discovery, 1); });
+    client.fetch();
+    s.until([&] { return asked(s.discovery, 2); });
+    s.discovery.wires[1]->say(ok(list_of(s, 11, true, json::array({s.upstream(0, "leaving")}))));
+    s.until([&] { return reports.lists.size() == 1; });
+    s.discovery.wires[0]->say(watch_head + chunk(list_of(s, 10, true, json::array({s.upstream(0)}))));
+    s.until([&] { return reports.lists.size() == 2; });
+    EXPECT_EQ(reports.lists[1].version, 11U);
+    EXPECT_TRUE(reports.lists[1].upstreams.empty());
+    EXPECT_FALSE(reports.lists[1].whole);
+}
+
+// Told only at the new address, right after the configuration was read anew, in higher numbers or in ones
+// that have begun anew.
+TEST(Versions, ADrainToldAtANewAddressHolds) {
+    for (const char* const mode : {"ask", "push"}) {
+        for (const int version : {9, 2}) {
+            const std::string what = mode + std::to_string(version);
+            Stage s;
+            s.config["settings"]["registry_mode"] = mode;
+            s.start();
+            s.until([&] { return asked(s.discovery, 1); });
+            s.discovery.wires[0]->say(watch_head + chunk(list_of(s, 8, false, json::array({s.upstream(0)}))));
+            settle(s);
+            Listener moved(s.loop);
+            s.config["discovery"] = text_of(moved.address());
+            s.host->reconfigure(net::parse_config(s.config.dump()));
+            s.until([&] { return asked(moved, 1); });
+            EXPECT_TRUE(resumes_at(*moved.wires[0], 8)) << what;
+            const json hosts = {s.upstream(0, "leaving"), s.upstream(1)};
+            moved.wires[0]->say(watch_head + chunk(list_of(s, version, true, hosts)));
+            settle(s);
+            expect_none_to_first(s, what);
+            s.host.reset();
+        }
+    }
+}
+
+// After several objects, or in the middle of one. The first line of the log tells how long it was silent.
+TEST(Discovery, AWatchThatFallsSilentLateIsCalledAnew) {
+    for (const bool half : {false, true}) {
+        Stage s;
+        s.start();
+        s.until([&] { return asked(s.discovery, 1); });
+        const auto wire = s.discovery.wires[0];
+        wire->say(watch_head);
+        for (int version = 8; version < 12; ++version) {
+            wire->say(chunk(list_of(s, version, false, json::array({s.upstream(0, "leaving")}))));
+            settle(s);
+        }
+        if (half) wire->say(chunk(list_of(s, 12, false, json::array({s.upstream(0)})).substr(0, 40)));
+        settle(s);
+        asio::steady_timer limit(s.loop, watch_silence + std::chrono::seconds(1));
+        bool late = false;
+        limit.async_wait([&](auto) { late = true; });
+        s.until([&] { return late || asked(s.discovery, 2); });
+        EXPECT_FALSE(late) << half;
+        EXPECT_TRUE(wire->ended) << half;
+        EXPECT_TRUE(resumes_at(*s.discovery.wires.back(), 11)) << half;
+        expect_none_to_first(s, half ? "half an object" : "silence");
+        s.host.reset();
+    }
+}
+
+// Whatever discovery answers, what it last said whole holds and requests are served.
+TEST(Discovery, BadAnswersLeaveTheLastGoodList) {
+    for (const std::string how : {"not HTTP", "not JSON", "no fields", "cut off", "refused"}) {
+        Stage s;
+        s.start();
+        s.until([&] { return asked(s.discovery, 1); });
+        const auto drain = list_of(s, 8, false, json::array({s.upstream(0, "leaving")}));
+        s.discovery.wires[0]->say(watch_head + chunk(drain));
+        s.discovery.wires[0]->close();
+        for (std::size_t call = 2; call <= 4; ++call) {
+            s.until([&] { return asked(s.discovery, call); });
+            const auto wire = s.discovery.wires[call - 1];
+            EXPECT_TRUE(resumes_at(*wire, 8)) << how;
+            const auto back = list_of(s, 9, true, json::array({s.upstream(0), s.upstream(1)}));
+            if (how == "not HTTP") wire->say("nonsense\r\n\r\n");
+            if (how == "not JSON") wire->say(watch_head + chunk("{\"seq\":9,\"whole\":true,]\n"));
+            if (how == "no fields") wire->say(watch_head + chunk("{\"seq\":9}\n"));
+            if (how == "cut off") wire->say(watch_head + chunk(back.substr(0, back.size() / 2)));
+            if (how == "refused") wire->say(refused);
+            wire->close();
+        }
+        s.until([&] { return asked(s.discovery, 5); });
+        expect_none_to_first(s, how);
+        s.host.reset();
+    }
+}
+
+TEST(Discovery, ListsInPiecesOfAFewBytesAreTaken) {
+    for (const std::size_t size : {1, 3, 7}) {
+        Stage s;
+        s.start();
+        s.until([&] { return asked(s.discovery, 1); });
+        const auto drain = list_of(s, 8, false, json::array({s.upstream(0, "leaving")}));
+        const auto text =
+            watch_head + chunk(drain) + chunk("\n") + chunk(list_of(s, 9, false, json::array({})));
+        for (std::size_t at = 0; at < text.size(); at += size) {
+            s.discovery.wires[0]->say(text.substr(at, size));
+            s.loop.poll();
+        }
+        settle(s);
+        expect_none_to_first(s, std::to_string(size));
+        s.discovery.wires[0]->close();
+        s.until([&] { return asked(s.discovery, 2); });
+        EXPECT_TRUE(resumes_at(*s.discovery.wires[1], 9)) << size;
+        s.host.reset();
+    }
+}
+
 }  // namespace
 }  // namespace flaxdoor::test
