--- a/src/net/clients.cpp
+++ b/src/net/clients.cpp
@@ -246,6 +246,13 @@
     void dispatch(HttpRequest message) {
         asked_ = true;
         keep_alive_ = message.keep_alive();
+        // A body in a coding that is not understood ends who knows where: the connection ends with the
+        // answer.
+        if (message.count(http::field::transfer_encoding) > 0 && !message.chunked()) {
+            keep_alive_ = false;
+            answer(plain_answer(http::status::bad_request));
+            return;
+        }
         const auto path = path_of(message);
         if (path == "/ready" && message.method() == http::verb::get) {
             answer(plain_answer(owner_.winding_down_ ? http::status::service_unavailable : http::status::ok));
--- a/src/net/discovery.h
+++ b/src/net/discovery.h
@@ -1,80 +1,74 @@
-// Discovery: the watch on changes and the call for the whole list, and the names they use turned into ids.
+// Discovery: the watch on changes, the call for the whole list, and which of the lists that come are taken.
 #pragma once
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
-#include <vector>
+#include <unordered_map>
 
-#include "flaxdoor/decide.h"
+#include "net/call_failures.h"
+#include "net/discovery_call.h"
+#include "net/discovery_list.h"
 
 namespace flaxdoor::net {
 
-// Zones and kinds of machine, as the settings name them.
-struct ListNames {
-    std::vector<std::string> zones;
-    std::vector<std::string> kinds;
+// How a call ended that brought no list, or a watch that brings no more.
+enum class ListFailure {
+    failed,       // turned away, broken off, or not understood
+    unreachable,  // no connection came up
+    silent,       // the connection stood, and the watch said nothing for `watch_silence`
 };
 
-struct ListedUpstream {
-    UpstreamEntry entry;
-    std::string name;
-    boost::asio::ip::tcp::endpoint address;
-};
-
-struct List {
-    std::uint64_t version = 0;
-    bool whole = false;
-    std::vector<ListedUpstream> upstreams;
-};
-
-// The id of an upstream: drawn from its name alone, so that it is the same at every balancer. The policy
-// orders upstreams by id and relies on all balancers having the same order.
-UpstreamId id_of(std::string_view name);
-
-// Throws when the text is not a list in discovery's form.
-List parse_list(std::string_view text, const ListNames& names);
-
 class DiscoveryEvents {
 public:
     virtual ~DiscoveryEvents() = default;
     virtual void on_list(List list) = 0;
-    virtual void on_list_failed() = 0;
-    virtual void on_watch_silent() = 0;  // its call has been answered or not; it is over
+    virtual void on_list_failed(ListFailure failure) = 0;  // the call is over
 };
 
-class Discovery {
+class Discovery final : private DiscoveryCallEvents {
 public:
     Discovery(boost::asio::io_context& loop, boost::asio::ip::tcp::endpoint address, ListNames names,
               DiscoveryEvents& events);
-    ~Discovery();
+    ~Discovery() override;
 
     void start_from(std::uint64_t version) { version_ = version; }
     void watch();  // resumes after the last version heard; nothing while a watch is open
     void unwatch();
     void fetch();  // the whole list, once
-    // Discovery is found at another address from now on: what is under way there is begun anew.
-    void move_to(const boost::asio::ip::tcp::endpoint& address);
+    // Discovery is found at this address from now on. Where that is another one, drops what is under way
+    // without a report and returns true: it is for the caller to call anew.
+    bool move_to(const boost::asio::ip::tcp::endpoint& address);
     void stop();
 
 private:
-    class Call;
-    bool hear(std::string_view text, bool watching, bool first);
-    void ended(Call& call, const char* why, bool silent);
-    void log_failure(const std::string& what);
+    void on_call_alive(DiscoveryCall& call) override;
+    std::optional<CallProblem> on_call_text(DiscoveryCall& call, std::string_view text) override;
+    void on_call_failed(DiscoveryCall& call, const CallFailure& failure) override;
+    void on_call_answered(DiscoveryCall& call) override;
+    std::shared_ptr<DiscoveryCall> start_call(DiscoveryCall::Kind kind, const std::string& target);
+    std::optional<CallProblem> take_from_watch(List list);
+    void keep_leaving(List& list) const;
+    void remember_leaving(const List& list);
+    void take(List list);
+    void forget_version();
 
     boost::asio::io_context& loop_;
     boost::asio::ip::tcp::endpoint address_;
     const ListNames names_;
     DiscoveryEvents& events_;
     std::uint64_t version_ = 0;
-    bool failing_ = false;  // no list since the last failure, which has been logged
-    bool wanted_ = false;   // a watch has been asked for, and may have failed since
-    std::shared_ptr<Call> watch_;
-    std::shared_ptr<Call> fetch_;
+    std::unordered_map<UpstreamId, Time> leaving_;  // those listed as draining, and when they were started
+    CallFailures failures_;                         // since the last answer
+    bool watch_answered_ = false;                   // the watch under way has said something
+    bool watch_listed_ = false;                     // and that was an object
+    std::uint64_t resumed_from_ = 0;                // the version that it was asked to resume after
+    std::shared_ptr<DiscoveryCall> watch_;
+    std::shared_ptr<DiscoveryCall> fetch_;
 };
 
 }  // namespace flaxdoor::net
--- a/src/net/host.cpp
+++ b/src/net/host.cpp
@@ -48,6 +48,15 @@
     return response;
 }
 
+ListKind kind_of(ListFailure failure) {
+    switch (failure) {
+        case ListFailure::unreachable: return ListKind::unreachable;
+        case ListFailure::silent: return ListKind::silent;
+        case ListFailure::failed: break;
+    }
+    return ListKind::failed;
+}
+
 HttpResponse failure(http::status status) { return {status, 11}; }
 
 }  // namespace
@@ -261,19 +270,15 @@
     policy_.on_list(now, kind, entries, list.version);
 }
 
-void Host::on_list_failed() {
-    handle([this](Time now) { policy_.on_list(now, ListKind::failed, {}); });
+void Host::on_list_failed(ListFailure failure) {
+    handle([this, kind = kind_of(failure)](Time now) { policy_.on_list(now, kind, {}); });
+    if (failure == ListFailure::silent) return watch_again(Micros{0});
     // What the agent has counts as told whether or not a watch stands: the list is back well within the
     // grace.
     const Micros gap = std::clamp<Micros>(config_.settings.drain_grace / 8, rewatch_least, rewatch_most);
     watch_again(gap + gap * (std::random_device{}() % 1000) / 1000);
 }
 
-void Host::on_watch_silent() {
-    handle([this](Time now) { policy_.on_list(now, ListKind::silent, {}); });
-    watch_again(Micros{0});
-}
-
 // Where lists are pushed the policy does not ask, and the agent on this machine costs nothing.
 void Host::watch_again(Micros gap) {
     if (config_.settings.must_ask_list) return;
@@ -331,7 +336,10 @@
 void Host::reconfigure(const Config& config) {
     if (drained_) return;
     net::log("configuration read anew");
-    discovery_.move_to(config.discovery);
+    if (!discovery_.move_to(config.discovery)) return;
+    // Guards against news missed while a gap after a failed call to the old address is waited out.
+    handle([this](Time now) { policy_.on_list(now, ListKind::moved, {}); });
+    watch_again(Micros{0});
 }
 
 // For whoever looks into a bad day: a line every few seconds in which there was work.
