--- a/tests/fleet_discovery_test.cpp
+++ b/tests/fleet_discovery_test.cpp
@@ -286,6 +286,16 @@
         return rounds * GetParam().serve_all + DiscoverySettings{}.call_timeout + call_gaps;
     }
 
+    // Watches end twice, a second apart, instead of telling that upstreams drain.
+    void watches_end_twice() {
+        start(true);
+        ASSERT_NO_FATAL_FAILURE(settle());
+        drain_some();
+        clock.run_for(seconds(1) + shift());
+        drain_some();
+        judge(clock.now());
+    }
+
     // Runs on till every list should be there and every grace over, and judges the whole run.
     void judge(Time last_event) {
         const Micros told_and_over = ToldTerms{}.at_most + GetParam().drain_grace + seconds(1);
@@ -352,14 +362,7 @@
     judge(clock.now());
 }
 
-TEST_P(FleetBeforeDiscovery, WatchesEndTwiceInsteadOfTelling) {
-    start(true);
-    ASSERT_NO_FATAL_FAILURE(settle());
-    drain_some();
-    clock.run_for(seconds(1) + shift());
-    drain_some();
-    judge(clock.now());
-}
+TEST_P(FleetBeforeDiscovery, WatchesEndTwiceInsteadOfTelling) { watches_end_twice(); }
 
 TEST_P(FleetBeforeDiscovery, MoveThenUpstreamsDrain) {
     constexpr Micros span = seconds(3);
@@ -432,14 +435,7 @@
 
 class FleetBeforeOverbookedDiscovery : public FleetBeforeDiscovery {};
 
-TEST_P(FleetBeforeOverbookedDiscovery, WorksOffCallsInVain) {
-    start(true);
-    ASSERT_NO_FATAL_FAILURE(settle());
-    drain_some();
-    clock.run_for(seconds(1) + shift());
-    drain_some();
-    judge(clock.now());
-}
+TEST_P(FleetBeforeOverbookedDiscovery, WorksOffCallsInVain) { watches_end_twice(); }
 
 std::string param_name(const testing::TestParamInfo<Case>& info) { return name_of(info.param); }
 
