Take stories of tuning out of decide.cpp and running averages into a header

Two long switches over outcomes became plain conditions. Averages over all samples at first and the last ones later (usual latency with its deviation, latency of answers) became util::RunningAverage and util::RunningDeviation, tested apart.

--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -1,14 +1,12 @@
 // The decisions of flaxdoor. Types, events and actions: include/flaxdoor/decide.h.
 //
-// A map for the reader. The ordinary path of a request, in the design's own words:
+// The ordinary path of a request:
 //   on_request      -> send_original: two random ready upstreams of the zone, fewer of ours in flight wins;
 //                      spill when under half of the zone is ready or every candidate's delay exceeds T1
 //   on_attempt_end  -> a failure waits out its gap (T1, doubling), then send_retry: a fresh pair without the
 //                      failed upstream, better first, then the others of the zone; each passes with chance p
 //   p               -> falls from 1 to 0 as the upstream's smoothed delay rises from 0.2 T1 to T1
-// One of many balancers spills what a crowded zone is too small for by the list (draw_zone), places its work
-// in a share of the zone (share_size), and bounds its attempts, even to less than one (learn_room,
-// room_used). The rules that may never be broken stand in one function each:
+// The rules that may never be broken stand in one function each:
 //   may_send (rules 1 and 2), may_get_new_work (rules 3 and 4), may_refuse (rule 2), close_idle (rule 5).
 #include "flaxdoor/decide.h"
 
@@ -21,6 +19,7 @@
 #include "settings_check.h"
 #include "util/decay.h"
 #include "util/random.h"
+#include "util/running_average.h"
 #include "util/slot_table.h"
 #include "util/timer_token.h"
 #include "util/token_bucket.h"
@@ -35,39 +34,37 @@
 constexpr double gate_high = 1.0;     // q_max as a share of T1: above it none does
 constexpr double t1_deviations = 4;   // T1 = usual latency + so many mean deviations, as TCP's timer does,
 constexpr double t1_least = 0.25;     //   but at least this share of the aim
-constexpr double t1_most = 0.8;       //   and at most this one (0.5: retries far too early; 1: no better)
+constexpr double t1_most = 0.8;       //   and at most this one
 constexpr double latency_weight = 1.0 / 64;  // weight of one answer in the usual latency of a class
 constexpr int max_strikes = 4;               // failures in a row that put an upstream out
 constexpr int hard_strikes = 2;              // a failed connection counts so many
 constexpr double lost_weight = 0.2;          // of an outcome in the share of a class that an upstream loses
-constexpr double lost_share = 0.5;         // that puts it out for the class alone (0.4 tried: grey ones too)
-constexpr double lost_more = 2;            //   if it is so many times what the class loses on the whole
-constexpr double penalty_growth = 2;       // each further time out is so much longer
-constexpr double share_of_ramp_out = 0.5;  // longest time out, as a share of the ramp time
+constexpr double lost_share = 0.5;           // that puts it out for the class alone
+constexpr double lost_more = 2;              //   if it is so many times what the class loses on the whole
+constexpr double penalty_growth = 2;         // each further time out is so much longer
+constexpr double share_of_ramp_out = 0.5;    // longest time out, as a share of the ramp time
 // What may be in flight at one upstream: attempts, learned.
-constexpr double first_limit = 2;          // before anything is known of it (1 tried: no better)
+constexpr double first_limit = 2;          // before anything is known of it
 constexpr double limit_growth = 1.0 / 32;  // step up by a timely answer at the limit, down by a crowd's
 // What all of our attempts may be, cut only in a jam.
-constexpr double most_crowding = 2;  // base latencies from which it is cut (1.8: refuses; 2.3: jams stay)
-constexpr double crowding_weight = 1.0 / 32;  // least of an answer in that (1/16: false cuts; 1/64: late)
-constexpr double crowding_cap = 4;            // the most that one counts for (3, 6 tried)
-constexpr double full_crowding = 6;   // what a full refusal or a time-out counts for (4: late; 15: refuses)
-constexpr double room_cut = 0.7;      // what a cut leaves (0.5, 0.8 tried)
-constexpr double room_growth = 0.25;  // step up, shared as below (0.12, 0.5, 1 tried)
-// Attempts an upstream, shared among balancers: the room at the start (1, 3 tried), and the least that a jam
-// leaves: under one (0.25 tried), as upstreams slowed by a crowd recover only while mostly idle.
-constexpr double least_room = 0.5;
-constexpr double fair_share = 2;
-constexpr double crowd = 3;         // an answer that took so many base latencies comes from a crowd (2 tried)
-constexpr double base_answers = 8;  // of a class, after which its base latency is known
+constexpr double most_crowding = 2;           // base latencies from which it is cut
+constexpr double crowding_weight = 1.0 / 32;  // least of an answer in that
+constexpr double crowding_cap = 4;            // the most that one counts for
+constexpr double full_crowding = 6;           // what a full refusal or a time-out counts for
+constexpr double room_cut = 0.7;              // what a cut leaves
+constexpr double room_growth = 0.25;          // step up, shared as below
+constexpr double fair_share = 2;              // attempts an upstream, over all balancers, at the start
+constexpr double least_room = 0.5;      // least that a cut leaves of them: slowed upstreams recover when idle
+constexpr double crowd = 3;             // an answer that took so many base latencies comes from a crowd
+constexpr double base_answers = 8;      // of a class, after which its base latency is known
 constexpr double base_guess = 1.0 / 3;  // of the aim: base latency of a class before it is known
-constexpr double base_creep = 3e-4;     // rise of the base latency by an answer (1e-3 learns jams)
+constexpr double base_creep = 3e-4;     // rise of the base latency by an answer
 // Who is sent at all: shares of the aim or of the time between a lone latency and the aim.
-constexpr double aim_margin = 0.5;   // of that time, what waiting may use (0.35, 0.7 tried)
-constexpr double most_lone = 0.75;   // of the aim, what a lone latency may take (0.5 tried: starves)
+constexpr double aim_margin = 0.5;   // of that time, what waiting may use
+constexpr double most_lone = 0.75;   // of the aim, what a lone latency may take
 constexpr double least_slope = 0.5;  // flattest line of latency over our own load, as a share of proportion
-constexpr double least_patience = 0.5;  // of a denser class's aim, for others at least (0.25, 0.75 tried)
-constexpr std::size_t at_once = 2;      // first attempts retried without a gap if they never ran (1 tried)
+constexpr double least_patience = 0.5;  // of a denser class's aim, for others at least
+constexpr std::size_t at_once = 2;      // first attempts retried without a gap if they never ran
 // A balancer's share of a zone.
 constexpr double hearings = 8;                 // answers that it should get from each before it forgets
 constexpr double coverage = 2;                 // shares that an upstream should be in at least
@@ -77,7 +74,7 @@
 constexpr double zone_crowded = 0.3;           // above it spills all that it is too small for
 constexpr std::size_t least_share = 4;         // upstreams, so that a pair has a choice when some are out
 constexpr double link_weight = 0.1;            // of an outcome in the share of new connections that fail
-constexpr double dear_share = 0.1;  // of new connections that fail: keep to open ones (0.25 tried: late)
+constexpr double dear_share = 0.1;             // of new connections that fail: keep to open ones
 // Time constants, in longest T1s or as shares of told times.
 constexpr double decay_t1s = 4;      // without news, delay and what goes with it decay over so many
 constexpr double silence_t1s = 2;    // an upstream that answers nothing for so many is silent
@@ -151,14 +148,17 @@
     double worth = 1;        // as a share of its class's: less beyond its tenant's share
 };
 
+// What a warm upstream answers for us.
+struct WarmRate {
+    double per_s = 0;
+    Time at{};  // when it was counted
+};
+
 struct ClassState {
-    double left_us = 0;   // the longest time left that requests come with
-    double lost = 0;      // smoothed share of its attempts that got an error or no answer
-    double usual_us = 0;  // smoothed latency of answers and time-outs, its mean deviation, how many
-    double deviation_us = 0;
-    double ends = 0;
-    double latency_us = 0;  // of answers alone, and how many
-    double answers = 0;
+    double left_us = 0;      // the longest time left that requests come with
+    double lost = 0;         // smoothed share of its attempts that got an error or no answer
+    RunningDeviation usual;  // latency of answers and time-outs
+    RunningAverage latency;  // of answers alone
     double t1_us = 0;
     double base_us = 0;  // latency without a crowd: the least that the usual one has been, creeping upwards
 };
@@ -206,9 +206,8 @@
         }
     }
 
-    // Rule 5: a draining upstream waits for its connections to end. Idle ones go with the notice, and those
-    // that an attempt still holds as soon as an outcome frees them; nothing is ever due later. Called on
-    // every notice and every outcome.
+    // Rule 5: idle connections to a draining upstream go with the notice, those that an attempt still holds
+    // as soon as an outcome frees them. Called on every notice and every outcome.
     void close_idle(Upstream& u) {
         if (s_.drain_close <= Micros{0} || u.entry.state == UpstreamState::ready || !u.linked) return;
         actions_.close_idle(u.entry.id);
@@ -252,38 +251,31 @@
     void update_t1(std::size_t c) {
         const double aim = us(s_.classes[c].aim);
         ClassState& state = classes_[c];
-        const double usual = state.usual_us + t1_deviations * state.deviation_us;
-        state.t1_us = state.ends == 0 ? t1_most * aim : std::clamp(usual, t1_least * aim, t1_most * aim);
+        const double usual = state.usual.mean.value + t1_deviations * state.usual.deviation;
+        state.t1_us =
+            state.usual.mean.samples == 0 ? t1_most * aim : std::clamp(usual, t1_least * aim, t1_most * aim);
         longest_t1_us_ = 0;
         for (const auto& each : classes_) longest_t1_us_ = std::max(longest_t1_us_, each.t1_us);
     }
 
-    // What the timer cut off counts for T1 too, or T1 is learned only from what came before it and falls with
-    // each time-out. Its latency is not known but above the timer: it counts twice that, as the gap doubles.
+    // T1 is learned from time-outs too, or it would fall with each: such a latency counts twice the timer.
     void learn_usual(std::size_t c, double latency_us) {
-        ClassState& state = classes_[c];
-        state.ends += 1;
-        const double weight = std::max(latency_weight, 1 / state.ends);
-        state.deviation_us += weight * (std::fabs(latency_us - state.usual_us) - state.deviation_us);
-        if (state.ends == 1) state.deviation_us = latency_us / 2;
-        state.usual_us += weight * (latency_us - state.usual_us);
+        classes_[c].usual.learn(latency_us, latency_weight);
         update_t1(c);
     }
 
     void learn_latency(std::size_t c, double latency_us) {
         ClassState& state = classes_[c];
-        state.answers += 1;
-        state.latency_us += std::max(latency_weight, 1 / state.answers) * (latency_us - state.latency_us);
-        // A start into a jam must not teach it as the base: the first guess is the most that it begins with.
+        state.latency.learn(latency_us, latency_weight);
+        // Bounded by the first guess: a start under overload must not teach its latencies.
         const double most =
             knows_base(state) ? state.base_us * (1 + base_creep) : base_guess * us(s_.classes[c].aim);
-        state.base_us = std::min(most, state.latency_us);
+        state.base_us = std::min(most, state.latency.value);
     }
 
-    // One of many balancers gets few answers: were they many before it counts, a jam would be there first.
-    static bool knows_base(const ClassState& state) { return state.answers >= base_answers; }
+    static bool knows_base(const ClassState& state) { return state.latency.samples >= base_answers; }
 
-    // Until it is known, the aim tells: a class can't be meant to be served in much more than this.
+    // Until it is known, the aim tells.
     double base_us(std::size_t c) const {
         return knows_base(classes_[c]) ? classes_[c].base_us : base_guess * us(s_.classes[c].aim);
     }
@@ -313,9 +305,8 @@
         }
     }
 
-    // Guards against many balancers that each send just a little to every upstream and together jam them all:
-    // what all of ours in flight may be is cut while answers take twice their base latency, so that it can be
-    // less than one an upstream, and then grows by a step for each room of answers, as a TCP window does.
+    // The concurrency limit of this balancer over all upstreams: cut while answers take twice their base
+    // latency, and then grown by a step for each limit of answers, as a TCP window is.
     void learn_room(const AttemptEnd& end, std::size_t c, Time sent_at, Time now) {
         room_ = room();
         if (sent_at < cut_at_) return;  // sent before the last cut, it says nothing of the room since
@@ -325,8 +316,7 @@
         } else if (end.outcome != Outcome::full && end.outcome != Outcome::timeout) {
             return;
         }
-        // One of many balancers gets few answers: each weighs as much as the time that it speaks for, but
-        // never so much that it cuts alone.
+        // An answer weighs as much as the time that it speaks for, but never so much that it cuts alone.
         const double gap = us(now - crowding_at_);
         const double weight = std::clamp(1 - std::exp(-gap / longest_t1_us_), crowding_weight,
                                          (most_crowding - 1) / full_crowding);
@@ -345,13 +335,11 @@
     // So many attempts an upstream, shared among the balancers.
     double part_of_fleet(double each) const { return each * std::max(1, ready_) / s_.balancers; }
 
-    // Guards against a start into a crowd, which would teach its latencies as the base ones: until a first
-    // answer is learned from, all balancers together hold few enough for the fleet.
+    // Until the first answer, all balancers together hold few enough for the fleet.
     double room() const { return room_ > 0 ? room_ : part_of_fleet(fair_share); }
 
-    // Is all that these requests may have of the room in use? With many balancers the room is an attempt or
-    // less. Chance then makes a balancer hold more at times, which harms nobody as long as it holds no more
-    // on average; and one that may hold less than one on average must at times hold none.
+    // Is all of `room` in use? With many balancers it is an attempt or less: more may be held at times as
+    // long as the mean is kept, and for a mean of less than one none must be held at times.
     bool room_used(double room) const {
         if (held_ < room) return in_flight_ >= room + 1 + std::sqrt(room);
         return in_flight_ >= room || room < 1;
@@ -375,9 +363,7 @@
     }
 
     // Would one more request of class c there be answered in time? Its latency is that of a lone one and what
-    // each of ours adds, on a line through what was met lately; cores or waits on others to spare make the
-    // line flatter than proportion. Being turned away costs a gap. Some of the slack stays unused: latencies
-    // have tails.
+    // each of ours adds, on a line through what was met lately. Being turned away costs a gap.
     bool in_time(const Upstream& u, std::size_t c, double patience, Time now) const {
         if (u.ours == 0) return true;
         const double proportion = u.latency_us / u.ours;
@@ -385,8 +371,7 @@
         const double slope = u.ours <= 1 ? proportion : (u.latency_us - idle) / (u.ours - 1);
         const double waiting = u.in_flight * std::clamp(slope, least_slope * proportion, proportion) +
                                u.full.now(now, decay_us()) * classes_[c].t1_us;
-        // Others may crowd it with none of ours there. That memory fades, or nothing would be sent to correct
-        // it.
+        // Fades, or nothing would be sent to correct it.
         const double lone = faded(idle, u.answered_at, now, decay_us());
         return waiting <= aim_margin * (patience - lone) && lone <= most_lone * patience;
     }
@@ -394,22 +379,16 @@
     // The delay that an outcome tells: reported requests held over the rate, else the latency itself.
     void learn_delay(Upstream& u, const AttemptEnd& end, std::size_t c, Time now) {
         const double latency = us(end.latency);
-        const double t1 = classes_[c].t1_us;
-        switch (end.outcome) {
-            case Outcome::ok:
-            case Outcome::error:
-                if (in_flight_field_ < end.report.size()) {
-                    const double held = std::max(0.0F, end.report[in_flight_field_]);
-                    const double per_held = latency / (held + 1);
-                    u.per_held_us += (u.per_held_us == 0 ? 1 : delay_weight) * (per_held - u.per_held_us);
-                    sample_delay(u, held * u.per_held_us, now);
-                } else {
-                    sample_delay(u, latency, now);
-                }
-                break;
-            case Outcome::timeout: sample_delay(u, latency, now); break;  // a time-out counts its timer
-            case Outcome::full: sample_delay(u, t1, now); break;
-            default: break;
+        const bool answered = end.outcome == Outcome::ok || end.outcome == Outcome::error;
+        if (answered && in_flight_field_ < end.report.size()) {
+            const double held = std::max(0.0F, end.report[in_flight_field_]);
+            const double per_held = latency / (held + 1);
+            u.per_held_us += (u.per_held_us == 0 ? 1 : delay_weight) * (per_held - u.per_held_us);
+            sample_delay(u, held * u.per_held_us, now);
+        } else if (answered || end.outcome == Outcome::timeout) {
+            sample_delay(u, latency, now);  // a time-out counts its timer
+        } else if (end.outcome == Outcome::full) {
+            sample_delay(u, classes_[c].t1_us, now);
         }
     }
 
@@ -420,9 +399,7 @@
         return p >= 1 || (p > 0 && random_.unit() < p);
     }
 
-    // Guards against connections that suddenly can't be made, or only slowly and at a cost to the upstream:
-    // while many attempts to open one fail, work stays where one is open. Ought to guard as well against full
-    // tables of connections; could harm, by crowding the few, so the memory fades and others are tried again.
+    // While many attempts to open a connection fail, work stays where one is open.
     bool links_dear(Time now) const { return refused_links_.now(now, decay_us()) > dear_share; }
 
     bool open_link(const Upstream& u, Time now) const {
@@ -441,11 +418,9 @@
 
     bool in_home_zone(const Upstream& u) const { return u.entry.zone == s_.zone; }
 
-    // Guards against many balancers that each use every upstream: together they fill its table of
-    // connections, and each hears of it too seldom to know its delay. A balancer places its work in its own
-    // share of a ring: as many upstreams as it can hear from `hearings` times before it forgets, and enough
-    // that each upstream is in several shares. The shares of the balancers follow each other around the ring,
-    // so that each upstream is in as many as the next. With few balancers the share is the zone.
+    // The subset of a ring in which this balancer places its work: as many upstreams as it can hear from
+    // `hearings` times before it forgets, and enough that each is in several subsets. The subsets of the
+    // balancers follow each other around the ring, so that each upstream is in as many as the next.
     std::size_t share_size(std::size_t ring) const {
         const double covering = coverage * ring * s_.zones / s_.balancers;
         return std::max(least_share, static_cast<std::size_t>(std::max(answers_.value / hearings, covering)));
@@ -493,10 +468,8 @@
         zone_delay_ += zone_weight * (sample - zone_delay_);
     }
 
-    // The zone to place a request in: the own one, as far as it can carry its part. Guards against a small
-    // zone that gets as many clients as a large one: each of its balancers hears of the crowd too late and
-    // from too few, so the list tells ahead what each zone can carry, by what is ready there and how warm. A
-    // zone below the even part spills what it lacks to those above it, each by what it has to spare.
+    // The zone to place a request in. The list tells what each zone can carry, by what is ready there and how
+    // warm: a zone below the even part spills what it lacks to those above it, each by what it has to spare.
     int draw_zone(Time now) {
         carries_.assign(static_cast<std::size_t>(s_.zones), 0);
         double even = 0;
@@ -529,8 +502,7 @@
         away_.clear();
         if (room_used(room() * share)) return;
         const double patience = patience_us(r);
-        // An upstream where the aim is lost, or that is known to be full at what it holds of ours, is none to
-        // choose.
+        // Where the aim is lost, or that is known to be full at what it holds of ours.
         const auto lost = [&](std::size_t i) {
             const Upstream& u = upstreams_[i];
             return u.in_flight >= std::max(1.0, u.limit * share) || !in_time(u, c, patience, now);
@@ -544,8 +516,7 @@
         const auto gather_away = [&](bool lenient) {
             if (away_.empty()) gather(away_ring_, away_, c, now, lenient, allowed);
         };
-        // Under half of the zone is ready: the rest can't carry it. When the whole fleet looks unfit, the
-        // trouble is not theirs alone: slow ones count as ready.
+        // Spills when under half of the zone is ready. When the whole fleet looks unfit, slow ones count.
         bool spilled = false;
         for (const bool lenient : {false, true}) {
             const bool half = gather(home_ring_, home_, c, now, lenient, allowed);
@@ -573,9 +544,8 @@
         }
     }
 
-    // Moves a fresh random pair to the front of the pool, the one with fewer of ours in flight first. One of
-    // many balancers seldom holds any at either: then the smoothed delay tells, where it is enough for a
-    // gate.
+    // Moves a random pair to the front of the pool, the one with fewer of ours in flight first, else the one
+    // of less delay where that is enough for a gate.
     void draw_pair(Time now) {
         if (home_.size() < 2) return;
         std::swap(home_[0], home_[random_.below(home_.size())]);
@@ -610,17 +580,16 @@
         }
     }
 
-    // Guards against work that can no longer count and still holds an upstream: where an answer after the aim
-    // is worth nothing, the request ends with its aim. Not for streams, which count once they have begun.
+    // Where an answer after the aim is worth nothing, the request ends with its aim. Not for streams, which
+    // count once they have begun.
     Time end_of_worth(const Request& request, Time arrived_at) const {
         const ClassSettings& c = s_.classes[static_cast<std::size_t>(request.class_index)];
         return c.late_worth > 0 || c.streams ? request.deadline : arrived_at + c.aim;
     }
 
-    // Guards against a stall of this balancer itself (paused, starved, swapped): what came in meanwhile has
-    // waited here, and may be past its aim before it is seen. A beat that is overdue tells of the stall, and
-    // the time left that a request comes with, short of the longest of its class, how long it has waited.
-    // Could harm clients' last tries, which come with less time: only those that come out of a stall.
+    // What came in while this balancer stalled has waited here. A heartbeat that is overdue tells of the
+    // stall, and the time left that a request comes with, short of the longest of its class, how long it has
+    // waited.
     Time arrival(const Request& request, Time now) {
         double& longest = classes_[static_cast<std::size_t>(request.class_index)].left_us;
         const double left = us(request.deadline - now);
@@ -645,7 +614,7 @@
         return !home_.empty() && submit(slot, home_[0], now);
     }
 
-    // Retries pass with chance p: the fresh pair first, the better of it before the other, then the rest.
+    // Retries pass with chance p: a fresh pair first, then the rest.
     bool send_retry(std::size_t slot, Time now) {
         const Open& r = open_[slot];
         const std::size_t failed = r.attempts.empty() ? none : r.attempts.back().upstream;
@@ -710,8 +679,7 @@
         return true;
     }
 
-    // The attempt time-out is the retry timer. There is none where it could gain nothing: no further attempt
-    // would be allowed after it, or none would fit before the deadline.
+    // The attempt time-out is the retry timer. There is none where no further attempt could follow it.
     Micros attempt_timer(const Open& r, Time now) const {
         const ClassSettings& c = s_.classes[class_of(r)];
         const Micros timer = gap(r);
@@ -782,9 +750,7 @@
         if (end.closed) r.done = true;
         if (r.done) return release_if_over(slot);
         if (!may_try_again(r, now)) return finish(slot);
-        // Guards against small waiting rooms that many balancers fill unseen by each other: what was turned
-        // away without having run goes on through the gate without a gap, while it still can be in time. Acts
-        // for the first attempts of a request only.
+        // What was turned away without having run goes on through the gate without a gap, at first.
         const Micros since = a.sent_at;
         if (turned_away && r.attempts.size() <= at_once && send_retry(slot, now)) return;
         wait_gap(slot, since, now);
@@ -837,44 +803,30 @@
     // Gets ordinary traffic: not put out, and not silent while work of ours is waiting there.
     bool fit(const Upstream& u, Time now) const { return !u.out && !silent(u, now); }
 
-    // Guards against upstreams that take work and answer none: seen after two of the longest T1 without any
-    // answer.
+    // Takes work and has answered none of it for two of the longest T1.
     bool silent(const Upstream& u, Time now) const {
         return u.in_flight > 1 &&
                us(now - std::max(u.answered_at, u.busy_since)) > silence_t1s * longest_t1_us_;
     }
 
     void learn_health(Upstream& u, Outcome outcome, std::size_t c, Time now) {
-        switch (outcome) {
-            case Outcome::ok:
-                u.answered_at = now;
-                u.answer_rate.add(1e6 / rate_window_us_, now, rate_window_us_);
-                u.strikes = 0;
-                if (u.out) come_back(u, now);
-                u.died = false;
-                return;
-            case Outcome::full:  // turning everything away at once makes an upstream attractive
-            case Outcome::error:
-                u.answered_at = now;
-                strike(u, 1, now);
-                return;
-            case Outcome::timeout:
-                // A time-out says something of the upstream only while nothing else is answered there.
-                if (u.answered_at + micros(classes_[c].t1_us) < now) strike(u, 1, now);
-                return;
-            case Outcome::reset: strike(u, 1, now); return;  // the network breaks connections too
-            case Outcome::connect_failed:
-                u.died = true;
-                strike(u, hard_strikes, now);
-                return;
-            default: return;
-        }
+        if (outcome == Outcome::cancelled || outcome == Outcome::moot) return;
+        // A time-out says something of the upstream only while nothing else is answered there.
+        const bool busy = u.answered_at + micros(classes_[c].t1_us) >= now;
+        if (outcome == Outcome::timeout && busy) return;
+        const bool answered = outcome == Outcome::ok || outcome == Outcome::full || outcome == Outcome::error;
+        if (answered) u.answered_at = now;
+        if (outcome == Outcome::connect_failed) u.died = true;
+        if (outcome != Outcome::ok)
+            return strike(u, outcome == Outcome::connect_failed ? hard_strikes : 1, now);
+        u.answer_rate.add(1e6 / rate_window_us_, now, rate_window_us_);
+        u.strikes = 0;
+        if (u.out) come_back(u, now);
+        u.died = false;
     }
 
-    // Guards against upstreams that fail one class and serve the others as usual, whose answers clear every
-    // strike: one that loses most of a class, and far more of it than is lost on the whole, gets none of it
-    // for a while. Ought to guard against any class that one upstream does badly; could harm where most
-    // upstreams fail the class, so the class's own loss sets the measure.
+    // An upstream that loses most of a class, and far more of it than is lost on the whole, gets none of it
+    // for a while; the answers to other classes would clear its strikes.
     void learn_service(Upstream& u, Outcome outcome, std::size_t c, Time now) {
         const bool lost = outcome == Outcome::timeout || outcome == Outcome::error;
         if (!lost && outcome != Outcome::ok) return;
@@ -921,8 +873,8 @@
         u.penalty = first_penalty();
     }
 
-    // An upstream put out is tried again when its time is up: by a probe where they are allowed, else by one
-    // request, if possible of a class that may be sent again.
+    // An upstream put out is tried again by a probe where they are allowed, else by one request, if possible
+    // of a class that may be sent again.
     std::size_t find_trial(std::size_t c, Time now) {
         for (std::size_t i = 0; i < upstreams_.size(); ++i) {
             Upstream& u = upstreams_[i];
@@ -977,9 +929,8 @@
     }
 
     // A cold upstream gets its warmth's share of what warm ones answer for us, counted over half the fall
-    // span. Guards against many balancers that each send it just one request as soon as they hear of it: the
-    // budget starts at a chance part of a request and fills no faster than our own part of the upstream's
-    // work, however little that is.
+    // span. The budget starts at a random part of a request and fills no faster than our own part of the
+    // upstream's work, so that the sum over all balancers keeps it too.
     bool cold_budget_left(Upstream& u, Time now) {
         const double share = warmth(u, now);
         if (share >= 1 || s_.fall_span <= Micros{0}) return true;
@@ -998,10 +949,8 @@
 
     void spend_cold_budget(Upstream& u) { u.cold_budget.tokens -= 1; }
 
-    // Answers a second that a warm upstream gives this balancer: those of the same kind in the zone, or in
-    // the others, else all there. Guards against balancers that each use a few: those that one never uses
-    // count as well, or all budgets together are as many times too large. Counted anew a few times in a fall
-    // span.
+    // Answers a second that a warm upstream gives this balancer: the mean over those of the same kind in the
+    // zone, or in the others, else over all there, also over those that it never uses.
     double warm_rate(const Upstream& like, Time now) {
         const auto kind = 2 * static_cast<std::size_t>(std::max(0, like.entry.kind)) + in_home_zone(like);
         if (warm_rates_.size() <= kind) warm_rates_.resize(kind + 1);
@@ -1031,8 +980,7 @@
                             [](const Attempt& a) { return a.may_have_run; });
     }
 
-    // Latency beyond which a request is not sent: its own aim, or what it must leave free for the classes
-    // that are worth more for their work.
+    // Latency beyond which a request is not sent: its aim, less what it leaves to classes worth more.
     double patience_us(const Open& r) const {
         const double own = density(r);
         double patience = us(s_.classes[class_of(r)].aim);
@@ -1051,10 +999,8 @@
         return share_beside(own, most);
     }
 
-    // Guards against a tenant that crowds out the others: what it sends beyond its share counts
-    // `over_share_worth` in the order of shedding. A bucket filled at this balancer's part of the quota
-    // tells; the part is the largest that it can have, with as few balancers in its zone as there may be.
-    // Acts where tenants are told with quotas, and only where upstreams are near full.
+    // What a tenant sends beyond its share counts `over_share_worth` in the order of shedding. A bucket
+    // filled at this balancer's part of the quota tells: the largest part that it can have.
     double worth_within_share(const Request& request, Time now) {
         if (!request.tenant || static_cast<std::size_t>(*request.tenant) >= shares_.size()) return 1;
         const auto tenant = static_cast<std::size_t>(*request.tenant);
@@ -1073,17 +1019,17 @@
         return least_patience + (1 - least_patience) * density / denser;
     }
 
-    // Worth for the work: latency stands for the work, as waiting is the same for all. A class not yet
-    // answered counts as the longest that it may usefully take, or it would keep room from all others.
+    // Worth for the work, for which latency stands. A class not yet answered counts as the longest that it
+    // may usefully take.
     double density(std::size_t c) const {
-        const double work = classes_[c].answers == 0 ? us(s_.classes[c].aim) : classes_[c].latency_us;
+        const double work =
+            classes_[c].latency.samples == 0 ? us(s_.classes[c].aim) : classes_[c].latency.value;
         return s_.classes[c].worth / std::max(1.0, work);
     }
 
     double density(const Open& r) const { return density(class_of(r)) * r.worth; }
 
-    // No upstream has room for an original: sending it would only make others late. It waits a gap like a
-    // gated retry if it can still be in time after that, else it is refused while that is cheap.
+    // No upstream has room: it waits a gap if it can still be in time after that, else it is refused.
     void turn_away(std::size_t slot, Time now) {
         const Open& r = open_[slot];
         if (upstreams_.empty() ||
@@ -1139,10 +1085,6 @@
     double room_ = 0;      // what in_flight_ may be; 0: not yet known
     double held_ = 0;      // in_flight_, smoothed
     Time held_at_{};
-    struct WarmRate {
-        double per_s = 0;
-        Time at{};
-    };
     std::vector<WarmRate> warm_rates_;  // by kind and side
     FadingAverage refused_links_;       // of attempts to open a connection, those that failed
     std::vector<ClassState> classes_;
--- a/tests/util_test.cpp
+++ b/tests/util_test.cpp
@@ -3,6 +3,7 @@
 
 #include "util/decay.h"
 #include "util/random.h"
+#include "util/running_average.h"
 #include "util/slot_table.h"
 #include "util/timer_token.h"
 #include "util/token_bucket.h"
@@ -75,6 +76,26 @@
     EXPECT_EQ(micros(1.6), Micros(2));
 }
 
+TEST(RunningAverage, CountsAllSamplesAlikeAtFirstAndForgetsOldOnesLater) {
+    RunningAverage average;
+    for (const double sample : {4.0, 8.0}) average.learn(sample, 0.25);
+    EXPECT_DOUBLE_EQ(average.value, 6);
+    for (int i = 0; i < 100; ++i) average.learn(2, 0.25);
+    EXPECT_NEAR(average.value, 2, 1e-9);
+    average.learn(6, 0.25);
+    EXPECT_NEAR(average.value, 3, 1e-9);
+}
+
+TEST(RunningDeviation, StartsAtHalfTheFirstSampleAndTakesEachBeforeTheMeanMoves) {
+    RunningDeviation latency;
+    latency.learn(8, 0.25);
+    EXPECT_DOUBLE_EQ(latency.mean.value, 8);
+    EXPECT_DOUBLE_EQ(latency.deviation, 4);
+    latency.learn(2, 0.25);
+    EXPECT_DOUBLE_EQ(latency.mean.value, 5);
+    EXPECT_DOUBLE_EQ(latency.deviation, 5);  // 4, then half of the way to 8 - 2
+}
+
 TEST(TokenBucket, FillsToItsMost) {
     TokenBucket bucket;
     EXPECT_FALSE(bucket.fill(0.5, 3, seconds(1)));
