Report a watch that discovery has closed in order apart from one that was reset

Cause looked for: what tells a discovery that is down from one that is crowded.

So the host now reports a watch that had been answered and was closed in order as closed; a reset, and a call that was never answered, stay failed. The log names them apart (ended, reset).

--- a/include/flaxdoor/decide.h
+++ b/include/flaxdoor/decide.h
@@ -133,12 +133,13 @@
 // ------------------------------------------------------------------------------------------------ events
 
 enum class UpstreamState { gone, ready, draining };
-// What discovery has said, or why it has not. The last four bring no entries and end the subscription:
-//   failed       the call was refused or broke off, or the subscription ended
+// What discovery has said, or why it has not. The last five bring no entries and end the subscription:
+//   failed       the call was refused or broke off, or the subscription was reset
+//   closed       discovery has closed the subscription in order, so that it was up
 //   unreachable  no connection to discovery came up
 //   silent       the subscription, or the call for it, has said nothing for `watch_silence`
 //   moved        discovery is at another address from now on
-enum class ListKind { delta, full, cached, failed, unreachable, silent, moved };
+enum class ListKind { delta, full, cached, failed, closed, unreachable, silent, moved };
 
 // A subscription that has said nothing for so long is taken for broken: discovery says something every 2 s.
 inline constexpr Micros watch_silence = std::chrono::seconds(3);
--- a/src/net/call_failures.cpp
+++ b/src/net/call_failures.cpp
@@ -23,6 +23,7 @@
         case CallError::turned_away: return "turned away";
         case CallError::unanswered: return "ended unanswered";
         case CallError::ended: return "ended";
+        case CallError::reset: return "reset";
         case CallError::broken: return "broken";
         case CallError::malformed_answer: return "malformed answer";
         case CallError::malformed_list: return "malformed list";
--- a/src/net/call_failures.h
+++ b/src/net/call_failures.h
@@ -20,7 +20,8 @@
     silence,           // nothing came for too long on a connection that stood
     turned_away,       // answered, with another status than 200
     unanswered,        // ended or was reset before a word of an answer
-    ended,             // ended after that
+    ended,             // closed in order after that
+    reset,             // broken off after that
     broken,            // the question could not be written
     malformed_answer,  // not HTTP
     malformed_list,    // not in the form of a list
--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -15,6 +15,7 @@
         case CallError::no_connection:
         case CallError::connect_timeout: return ListFailure::unreachable;
         case CallError::silence: return watching ? ListFailure::silent : ListFailure::failed;
+        case CallError::ended: return watching ? ListFailure::closed : ListFailure::failed;
         default: return ListFailure::failed;
     }
 }
--- a/src/net/discovery.h
+++ b/src/net/discovery.h
@@ -18,7 +18,8 @@
 
 // How a call ended that brought no list, or a watch that brings no more.
 enum class ListFailure {
-    failed,       // turned away, broken off, or not understood
+    failed,       // turned away, reset, or not understood
+    closed,       // the watch was closed in order, by a discovery that was up
     unreachable,  // no connection came up
     silent,       // the connection stood, and the watch said nothing for `watch_silence`
 };
--- a/src/net/discovery_call.cpp
+++ b/src/net/discovery_call.cpp
@@ -114,13 +114,18 @@
         if (!(kind_ == Kind::watch ? take_lines() : take_list())) return;
     }
     if (parser_.is_done() && kind_ == Kind::list) return finish();
-    if (parser_.is_done() || ended) {
-        return fail(parser_.got_some() ? CallError::ended : CallError::unanswered);
-    }
+    if (parser_.is_done() || ended) return fail(error_of_end(ended));
     await_news();
     read();
 }
 
+// A process that dies resets its connections; one that lives closes them in order.
+CallError DiscoveryCall::error_of_end(error_code ended) const {
+    if (!parser_.got_some()) return CallError::unanswered;
+    const bool in_order = parser_.is_done() || ended == asio::error::eof;
+    return in_order ? CallError::ended : CallError::reset;
+}
+
 // False when the call is over. An object stands on one line or is indented over several, and ends with the
 // line that closes its last bracket. An empty line tells that one begun before it will not be finished.
 bool DiscoveryCall::take_lines() {
--- a/src/net/discovery_call.h
+++ b/src/net/discovery_call.h
@@ -56,6 +56,7 @@
     void ask();
     void read();
     void take(error_code ended);
+    CallError error_of_end(error_code ended) const;
     bool take_lines();
     bool take_list();
     bool hand_on(std::string_view text);
--- a/src/net/host.cpp
+++ b/src/net/host.cpp
@@ -50,6 +50,7 @@
 
 ListKind kind_of(ListFailure failure) {
     switch (failure) {
+        case ListFailure::closed: return ListKind::closed;
         case ListFailure::unreachable: return ListKind::unreachable;
         case ListFailure::silent: return ListKind::silent;
         case ListFailure::failed: break;
--- a/tests/discovery_test.cpp
+++ b/tests/discovery_test.cpp
@@ -310,6 +310,36 @@
     }
 }
 
+// A process that dies resets its connections: a watch that is closed instead was closed by a discovery that
+// is up. One that was never answered has told nothing of the kind.
+TEST(DiscoveryClient, AWatchThatIsClosedInOrderTellsThatDiscoveryIsUp) {
+    struct End {
+        std::string name;
+        std::string said;
+        bool reset;
+        net::ListFailure reported;
+    };
+    const std::string empty_line = watch_head + chunk("\n");
+    for (const End& each : {End{"closed", empty_line, false, net::ListFailure::closed},
+                            End{"finished", empty_line + "0\r\n\r\n", false, net::ListFailure::closed},
+                            End{"reset", empty_line, true, net::ListFailure::failed},
+                            End{"unanswered", "", false, net::ListFailure::failed}}) {
+        Stage s;
+        Reports reports;
+        net::Discovery client(s.loop, s.discovery.address(), {}, reports);
+        client.watch();
+        s.until([&] { return asked(s.discovery, 1); });
+        const auto wire = s.discovery.wires[0];
+        if (!each.said.empty()) {
+            wire->say(each.said);
+            s.until([&] { return !reports.lists.empty(); });
+        }
+        each.reset ? wire->reset() : wire->close();
+        s.until([&] { return !reports.failures.empty(); });
+        EXPECT_EQ(reports.failures, std::vector{each.reported}) << each.name;
+    }
+}
+
 // Whoever asked calls anew; a move to the same address leaves the call under way alone.
 TEST(DiscoveryClient, AMoveDropsWhatIsUnderWay) {
     Stage s;
