--- a/tests/crossing_test.cpp
+++ b/tests/crossing_test.cpp
@@ -92,7 +92,8 @@
 //
 // on a kept connection   | what crosses
 // bytes, nothing asked   | Kept.DropsAConnectionThatSpeaksUnasked
-// a second answer, late  | Idle.ASecondAnswerIsNeverGivenToTheNextRequest
+// a second answer, late  | Idle.ASecondAnswerIsNeverGivenToTheNextRequest; later than the rest:
+//                        | Idle.ASecondAnswerLaterThanTheRestIsNeverGivenToTheNextRequest
 // a refusal              | Idle.ARefusalThatMayBelongToAnotherProvesNothing and what follows it
 // the upstream's end     | Kept.NoticesAnEndBeforeReuse, Idle.AnEndBehindARequestIsAReset
 // our own idle close     | Kept.ClosesBeforeTheToldIdleLimit
@@ -128,6 +129,17 @@
     }
 }
 
+// What happens: an upstream answers a request twice, the second time after its connection has been put to use
+// again; the next request gets the answer of the one before. Why: a kept connection rests for 10 ms, and what
+// comes later can't be told from the answer that is waited for, as answers name no request.
+TEST(Idle, ASecondAnswerLaterThanTheRestIsNeverGivenToTheNextRequest) {
+    Stage s;
+    s.start();
+    const auto [client, wire] = one_on_a_kept_connection(s, look());
+    wire->say(ok("to the one before, again"));
+    EXPECT_FALSE(has(s.answer(*client), "to the one before"));
+}
+
 // A second answer may be a refusal, and come at any time: on a connection that has carried others before, a
 // refusal doesn't prove that a request of which the effect counts never ran.
 TEST(Idle, ARefusalThatMayBelongToAnotherProvesNothing) {
--- a/tests/discovery_test.cpp
+++ b/tests/discovery_test.cpp
@@ -340,6 +340,21 @@
     }
 }
 
+// What happens: a call that waits its turn for longer than 3 s is given up, and so is the next. Why: the time
+// for which a standing watch may be silent bounds the wait for the first word too; no page bounds that.
+TEST(DiscoveryClient, ACallMayWaitForLongerThanAWatchMayBeSilent) {
+    Stage s;
+    Reports reports;
+    net::Discovery client(s.loop, s.discovery.address(), {}, reports);
+    client.watch();
+    s.until([&] { return asked(s.discovery, 1); });
+    asio::steady_timer turn(s.loop, watch_silence + std::chrono::seconds(1));
+    turn.async_wait([&](auto) { s.discovery.wires[0]->say(watch_head + chunk("\n")); });
+    s.until([&] { return !reports.failures.empty() || !reports.lists.empty(); });
+    EXPECT_TRUE(reports.failures.empty());
+    EXPECT_EQ(reports.lists.size(), 1U);
+}
+
 // Whoever asked calls anew; a move to the same address leaves the call under way alone.
 TEST(DiscoveryClient, AMoveDropsWhatIsUnderWay) {
     Stage s;
--- a/tests/fleet_discovery_test.cpp
+++ b/tests/fleet_discovery_test.cpp
@@ -251,6 +251,7 @@
         DiscoverySettings settings;
         settings.overload = c.overload;
         settings.ends_instead_of_telling = ends_instead_of_telling;
+        settings.while_down = while_down;
         settings.calls_per_s = up ? settling_calls_per_s : calls_per_s();
         discovery = std::make_unique<ModelledDiscovery>(clock, settings, upstreams_for(c.instances));
         if (!up) discovery->go_down();
@@ -354,6 +355,7 @@
     std::unique_ptr<ModelledFleet> fleet;
     Time began{};
     UpstreamId last_drained = 0;
+    CallWhileDown while_down = CallWhileDown::hangs;
     int slowed = 1;  // times as long as the case says, for a round of calls
 };
 
@@ -395,9 +397,22 @@
     judge(silent + watch_silence);  // hosts have noticed it by then
 }
 
-class FleetInAnOutage : public FleetBeforeDiscovery {};
+class FleetInAnOutage : public FleetBeforeDiscovery {
+protected:
+    void service_goes_on();
+};
+
+// The protocol page allows both: calls to a discovery that is down end with 503, at once or later.
+TEST_P(FleetInAnOutage, ServiceGoesOn) { service_goes_on(); }
+
+// What happens: every instance stops sending 6 s after discovery went down, until it is back. Why: a refusal
+// at once is what a crowded discovery answers too, and proves that it can be reached.
+TEST_P(FleetInAnOutage, ServiceGoesOnWhereCallsAreRefused) {
+    while_down = CallWhileDown::is_refused_at_once;
+    service_goes_on();
+}
 
-TEST_P(FleetInAnOutage, ServiceGoesOn) {
+void FleetInAnOutage::service_goes_on() {
     constexpr Micros most_pause = milliseconds(1500);
     start(false);
     ASSERT_NO_FATAL_FAILURE(settle());
--- a/tests/modelled_discovery.cpp
+++ b/tests/modelled_discovery.cpp
@@ -108,7 +108,8 @@
     ++calls_made_;
     const Time timed_out = now + settings_.call_timeout;
     if (!up_) {
-        schedule(client, timed_out, &ModelledDiscovery::fail_call);
+        const bool hangs = settings_.while_down == CallWhileDown::hangs;
+        schedule(client, hangs ? timed_out : now + settings_.refusal_delay, &ModelledDiscovery::fail_call);
         return;
     }
     const Time answered = std::max(free_at_, now) + service_time();
--- a/tests/modelled_discovery.h
+++ b/tests/modelled_discovery.h
@@ -115,12 +115,16 @@
     work_off         // it is queued, fails after the time-out and still takes its turn later
 };
 
+// What becomes of a call while discovery is down: it ends with 503 in either case.
+enum class CallWhileDown { hangs, is_refused_at_once };
+
 struct DiscoverySettings {
     double calls_per_s = 1000;
     Micros call_timeout = std::chrono::seconds(2);
     Micros refusal_delay = std::chrono::milliseconds(5);
     Micros word_gap = std::chrono::seconds(2);  // a standing watch hears at least an empty line so often
     Overload overload = Overload::refuse_at_once;
+    CallWhileDown while_down = CallWhileDown::hangs;
     bool ends_instead_of_telling = false;  // a change ends the standing watches, unheard
     ToldTerms terms;
 };
--- a/tests/standing_terms_test.cpp
+++ b/tests/standing_terms_test.cpp
@@ -858,6 +858,17 @@
     });
 }
 
+// What happens: no connection comes up at any upstream, and every request is turned away untried. Why: all
+// upstreams are put out, and those that may be probed get probes in place of requests.
+TEST(NeverAllAway, AttemptsGoOnWhileNoConnectionComesUp) {
+    for_all_balancers([](const Settings& settings, Load load, const std::string& what) {
+        for (const int seconds : {5, 30}) {
+            const auto p = pauses(settings, load, {Outcome::connect_failed, std::chrono::seconds(seconds)});
+            EXPECT_LT(p.longest, all_away_limit) << what << ", for " << seconds << " s";
+        }
+    });
+}
+
 // Where no connection comes up at any upstream, probes may go in place of attempts; requests are tried again
 // soon after connections come up again.
 TEST(NeverAllAway, AttemptsBeginAgainAfterConnectionsHaveFailed) {
