Go on trying requests while connections to all upstreams fail

What callers saw: with all upstreams put out by failed connections, a balancer that may probe refused everything untried, for 27 to 39 s in a trouble of 30 s; without probes up to 5.6 s without an attempt. Cause: find_trial sends only a probe, or waits for a penalty to run out (docs/incidents/only-probes-go.md). Why it holds: an attempt that gets no connection has not run, so the request may still be refused or go on.

--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -83,6 +83,7 @@
 constexpr double left_creep = 1e-3;  // fall, by a request, of the longest time that clients leave us
 constexpr Micros share_span = std::chrono::seconds(4);  // of its share, what a tenant may save up
 constexpr Micros log_gap = std::chrono::seconds(1);
+constexpr Micros untried_most = std::chrono::seconds(2);  // without an attempt while all upstreams are out
 
 using namespace util;
 
@@ -644,6 +645,7 @@
         Open& r = open_[slot];
         Upstream& u = upstreams_[to];
         if (!may_send(r, to, now) || !may_get_new_work(u, now)) return false;
+        submitted_at_ = now;
         const Micros timer = attempt_timer(r, now);
         const Time latest = std::min(send_by(r), subscription_.send_by(now));
         if (u.in_flight++ == 0) {
@@ -858,6 +860,11 @@
 
     // An upstream put out is tried again by a probe where they are allowed, else by a repeatable request.
     std::size_t find_trial(std::size_t c, Time now) {
+        // While all are out, requests go on being tried: one that gets no connection has not run.
+        if (!upstreams_.empty() && all_out() && now - submitted_at_ >= untried_most) {
+            const std::size_t i = random_.below(upstreams_.size());
+            if (upstreams_[i].died && may_get_new_work(upstreams_[i], now)) return i;
+        }
         for (std::size_t i = 0; i < upstreams_.size(); ++i) {
             Upstream& u = upstreams_[i];
             if (!u.out || u.trial || now < u.out_until || !may_get_new_work(u, now)) continue;
@@ -1053,6 +1060,7 @@
         1;  // smoothed delay of the own zone, as a share of the aim; at first the list decides
     std::vector<std::size_t> busy_;   // those with attempts of ours in flight
     int out_ = 0;                     // how many are put out
+    Time submitted_at_{};             // when the last attempt began
     std::optional<Time> all_out_at_;  // when last all of them were
     FadingSum answers_;               // answers within what is remembered
 
