Log by upstream which attempts were turned away as full, and how little time they had

The two-second line on attempts now ends, where there were any, in "turned away as full 9 (at 2 upstreams, 7 at, least left 12 ms)".

--- a/src/net/upstreams.cpp
+++ b/src/net/upstreams.cpp
@@ -252,6 +252,8 @@
         const auto self = shared_from_this();
         const AttemptKey attempt = *attempt_;
         const Time sent_at = since_;
+        const bool of_client = attempt.request != probe_request;
+        if (refused && of_client) owner_.refusals_.count(upstream_, expires_ - owner_.clock_.now());
         attempt_.reset();
         owner_.attempts_.erase(attempt);
         if (reusable) {
@@ -439,7 +441,10 @@
                   "%u refused, %u too slow, %u broke unwritten, %u found ended",
                   f.sent, f.unreadable, f.reset, f.timeout, f.moot, f.withdrawn, open_, f.made,
                   static_cast<double>(f.slowest.count()) / 1e3, f.refused, f.slow, f.unwritten, f.stale);
-    return line;
+    std::string text = line;
+    if (const std::string refusals = refusals_.take_text(); !refusals.empty())
+        text.append("; ").append(refusals);
+    return text;
 }
 
 void Upstreams::stop() {
--- a/src/net/upstreams.h
+++ b/src/net/upstreams.h
@@ -16,6 +16,7 @@
 #include "flaxdoor/decide.h"
 #include "net/clock.h"
 #include "net/http.h"
+#include "net/refusal_tally.h"
 
 namespace flaxdoor::net {
 
@@ -107,6 +108,7 @@
     std::size_t open_ = 0;
     int probes_ = 0;
     Figures figures_;
+    RefusalTally refusals_;
 };
 
 // Values in the order of `fields`; empty when the text doesn't hold them all as numbers.
