Give an upstream that has answered twice one request a connection for 10 s

What callers saw: where an upstream answers twice and the second answer comes later than the rest of 10 ms, the next request on the kept connection gets it as its own.

Cause: answers name no request. A second answer that was noticed in time closed its own connection only; the next one to the same upstream was kept and used again as before (Upstreams::Connection::answered and ::take).

Change: bytes that begin as an answer does, behind an answer or on a kept connection, mark the upstream. For 10 s its connections carry one request each, so no second answer there, however late, reaches another request. The log counts them.

Test: Idle.AfterASecondAnswerNoLaterOneReachesAnotherRequest fails at 16 of 24 requests with the span set to 0.

--- a/src/net/http.cpp
+++ b/src/net/http.cpp
@@ -12,6 +12,8 @@
 
 namespace {
 
+constexpr std::string_view answer_begin = "HTTP/1.";
+
 template <typename Message>
 std::string serialized(Message& message) {
     http::serializer<Message::is_request::value, http::string_body> serializer(message);
@@ -54,6 +56,17 @@
     return got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
+std::string peek(tcp::socket& socket) {
+    std::string bytes(answer_begin.size(), '\0');
+    const auto got = ::recv(socket.native_handle(), bytes.data(), bytes.size(), MSG_PEEK | MSG_DONTWAIT);
+    bytes.resize(got > 0 ? static_cast<std::size_t>(got) : 0);
+    return bytes;
+}
+
+bool begins_answer(std::string_view text) {
+    return !text.empty() && text.substr(0, answer_begin.size()) == answer_begin.substr(0, text.size());
+}
+
 bool ended(tcp::socket& socket) {
     char byte = 0;
     const auto got = ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
--- a/src/net/http.h
+++ b/src/net/http.h
@@ -32,6 +32,12 @@
 // No bytes and no end have come: safe to write a request to, or to close between two requests.
 bool quiet(tcp::socket& socket);
 
+// The first bytes that have come and are still unread, up to the length of an answer's protocol name.
+std::string peek(tcp::socket& socket);
+
+// Whether the text is, or may become, the beginning of an answer.
+bool begins_answer(std::string_view text);
+
 // The end of the connection, or its reset, has come: next, or behind bytes that are still unread.
 bool ended(tcp::socket& socket);
 
--- a/src/net/upstreams.cpp
+++ b/src/net/upstreams.cpp
@@ -65,6 +65,13 @@
     Time idle_since() const { return since_; }
     bool is_quiet() { return buffer_.size() == 0 && quiet(socket_); }
 
+    // Whether what has come behind the last answer begins a further one: what was read, and what was not yet.
+    bool has_unasked_answer() const {
+        const auto bytes = buffer_.data();
+        return begins_answer({static_cast<const char*>(bytes.data()), bytes.size()});
+    }
+    bool unasked_answer_waits() { return begins_answer(peek(socket_)); }
+
     void connect(const tcp::endpoint& address, AttemptKey attempt, HttpRequest request, Time expires,
                  Time send_by) {
         begin(attempt, std::move(request), expires, send_by);
@@ -205,7 +212,9 @@
 
     void take(error_code ended) {
         if (!attempt_) {  // kept: whatever comes now, its end or bytes that nobody asked for, it is done
-            owner_.forget(shared_from_this());
+            const auto self = shared_from_this();
+            owner_.forget(self);
+            if (has_unasked_answer()) owner_.on_unasked_answer(upstream_);
             return;
         }
         error_code error;
@@ -243,11 +252,13 @@
         HttpResponse answer = parser_->release();
         const Outcome outcome = outcome_of(answer);
         const bool refused = outcome == Outcome::full;
+        if (has_unasked_answer()) owner_.on_unasked_answer(upstream_);
         // Before the request is whole there is nothing to answer but that it will not be taken, and behind a
         // refusal comes nothing.
         if (refused ? buffer_.size() > 0 : !whole()) return unreadable();
         // An answer to a request that is not whole yet leaves the framing in doubt.
-        const bool reusable = !ended && whole() && answer.keep_alive() && buffer_.size() == 0;
+        const bool reusable =
+            !ended && whole() && answer.keep_alive() && buffer_.size() == 0 && !owner_.single_use(upstream_);
         const bool doubtful = refused && reused_ && whole();
         const auto self = shared_from_this();
         const AttemptKey attempt = *attempt_;
@@ -364,10 +375,25 @@
         pool.idle.erase(at);
         if (link->is_quiet()) return link;
         ++figures_.stale;
+        const bool unasked = link->unasked_answer_waits();
         link->close();
+        if (unasked) on_unasked_answer(link->upstream());
     }
 }
 
+// Guards against a second answer that comes after a connection has rested: answers name no request, so it
+// would be given to the next one. An upstream that has answered twice may do so again.
+void Upstreams::on_unasked_answer(UpstreamId upstream) {
+    ++figures_.answered_twice;
+    pools_[upstream].single_use_until = clock_.now() + limits_.single_use;
+    close_idle(upstream);
+}
+
+bool Upstreams::single_use(UpstreamId upstream) const {
+    const auto pool = pools_.find(upstream);
+    return pool != pools_.end() && clock_.now() < pool->second.single_use_until;
+}
+
 // At the cap, the connection that was kept longest makes room.
 bool Upstreams::make_room() {
     if (open_ < limits_.connections) return true;
@@ -433,14 +459,15 @@
 std::string Upstreams::figures() {
     const Figures f = std::exchange(figures_, {});
     if (f.sent == 0) return {};
-    char line[256];
+    char line[320];
     std::snprintf(line, sizeof line,
                   "attempts %u: unreadable %u, reset %u, timeout %u, moot %u, withdrawn %u; connections %zu "
                   "open, %u made "
                   "(slowest %.1f ms), "
-                  "%u refused, %u too slow, %u broke unwritten, %u found ended",
+                  "%u refused, %u too slow, %u broke unwritten, %u found ended, %u answered twice",
                   f.sent, f.unreadable, f.reset, f.timeout, f.moot, f.withdrawn, open_, f.made,
-                  static_cast<double>(f.slowest.count()) / 1e3, f.refused, f.slow, f.unwritten, f.stale);
+                  static_cast<double>(f.slowest.count()) / 1e3, f.refused, f.slow, f.unwritten, f.stale,
+                  f.answered_twice);
     std::string text = line;
     if (const std::string refusals = refusals_.take_text(); !refusals.empty())
         text.append("; ").append(refusals);
--- a/src/net/upstreams.h
+++ b/src/net/upstreams.h
@@ -51,6 +51,8 @@
     Micros connect{};  // a connection that is not made after this has failed; 0: no limit of its own
     Micros idle{};     // kept connections are closed after this by the other side; 0: not told
     std::size_t connections = 0;  // in all
+    // For so long after an upstream has answered twice, its connections carry one request each.
+    Micros single_use = std::chrono::seconds(10);
 };
 
 class Upstreams {
@@ -82,16 +84,19 @@
     struct Pool {
         std::optional<boost::asio::ip::tcp::endpoint> address;
         std::vector<Link> idle;  // the one used last stands last
+        Time single_use_until{};
     };
 
     // Tells apart what the policy hears of as one outcome.
     struct Figures {
         unsigned sent = 0, made = 0, refused = 0, slow = 0, unwritten = 0, stale = 0, unreadable = 0,
-                 reset = 0, timeout = 0, moot = 0, withdrawn = 0;
+                 reset = 0, timeout = 0, moot = 0, withdrawn = 0, answered_twice = 0;
         Micros slowest{};  // of the connections made
     };
 
     Link take_idle(Pool& pool);
+    void on_unasked_answer(UpstreamId upstream);
+    bool single_use(UpstreamId upstream) const;
     bool make_room();
     void keep(const Link& link);
     void forget(const Link& link);
--- a/tests/crossing_test.cpp
+++ b/tests/crossing_test.cpp
@@ -93,7 +93,8 @@
 // on a kept connection   | what crosses
 // bytes, nothing asked   | Kept.DropsAConnectionThatSpeaksUnasked
 // a second answer, late  | Idle.ASecondAnswerIsNeverGivenToTheNextRequest; later than the rest:
-//                        | Idle.ASecondAnswerLaterThanTheRestIsNeverGivenToTheNextRequest
+//                        | Idle.ASecondAnswerLaterThanTheRestIsNeverGivenToTheNextRequest, and
+//                        | Idle.AfterASecondAnswerNoLaterOneReachesAnotherRequest
 // a refusal              | Idle.ARefusalThatMayBelongToAnotherProvesNothing and what follows it
 // the upstream's end     | Kept.NoticesAnEndBeforeReuse, Idle.AnEndBehindARequestIsAReset
 // our own idle close     | Kept.ClosesBeforeTheToldIdleLimit
@@ -140,6 +141,66 @@
     EXPECT_FALSE(has(s.answer(*client), "to the one before"));
 }
 
+// Guards against wrong answers from an upstream that has answered twice before: its connections carry one
+// request each from then on, so that a second answer, however late, reaches none.
+TEST(Idle, AfterASecondAnswerNoLaterOneReachesAnotherRequest) {
+    for (const bool behind_the_first : {true, false}) {
+        Stage s(1);
+        s.start();
+        const auto client = s.client();
+        client->say(look());
+        auto wire = s.request().first;
+        wire->say(behind_the_first ? ok() + ok() : ok());
+        EXPECT_EQ(status(s.answer(*client)), 200);
+        if (!behind_the_first) wire->say(ok());
+        s.until([&] { return wire->ended; });
+        std::set<std::shared_ptr<Wire>> used{wire};
+        for (int i = 0; i < 12; ++i) {
+            client->say(look());
+            wire = s.request().first;
+            // On a connection that has carried another request, this could be its second answer.
+            wire->say(used.insert(wire).second ? ok("to this") : ok("to another"));
+            EXPECT_TRUE(has(s.answer(*client), "to this"));
+        }
+        s.host.reset();
+    }
+}
+
+// Writes down the outcomes of attempts.
+struct Outcomes : net::UpstreamEvents {
+    std::vector<Outcome> all;
+    void on_attempt_result(net::AttemptResult result) override { all.push_back(result.outcome); }
+    void on_connection(net::AttemptKey) override {}
+    void on_probe_result(ProbeResult) override {}
+};
+
+// Guards against an upstream that costs a connection for each request for good.
+TEST(Idle, AnUpstreamThatHasLongAnsweredOnceKeepsItsConnectionsAgain) {
+    Stage s(1);
+    Outcomes outcomes;
+    const net::Clock clock;
+    net::UpstreamLimits limits{std::chrono::seconds(5), {}, 8};
+    limits.single_use = std::chrono::milliseconds(300);
+    net::Upstreams upstreams(s.loop, clock, limits, {}, outcomes);
+    upstreams.set_address(1, s.upstreams[0]->address());
+    int sent = 0;
+    const auto exchange = [&](const std::string& answer) {
+        net::HttpRequest request(boost::beast::http::verb::get, "/api", 11);
+        const Time expires = clock.now() + std::chrono::seconds(15);
+        upstreams.send({1, sent++}, 1, std::move(request), expires, expires);
+        s.request().first->say(answer);
+        s.until([&] { return outcomes.all.size() == static_cast<std::size_t>(sent); });
+        EXPECT_EQ(outcomes.all.back(), Outcome::ok);
+    };
+    exchange(ok() + ok());
+    const Time over = clock.now() + limits.single_use;
+    exchange(ok());
+    EXPECT_EQ(upstreams.idle(1), 0U);
+    s.until([&] { return clock.now() >= over; });
+    exchange(ok());
+    EXPECT_EQ(upstreams.idle(1), 1U);
+}
+
 // A second answer may be a refusal, and come at any time: on a connection that has carried others before, a
 // refusal doesn't prove that a request of which the effect counts never ran.
 TEST(Idle, ARefusalThatMayBelongToAnotherProvesNothing) {
