--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -95,11 +95,10 @@
 
 struct Upstream {
     UpstreamEntry entry;
-    std::vector<Service> services;  // by class
-    std::uint64_t turn = 0;         // its place in the order of shares
-    std::vector<std::size_t>* ring =
-        nullptr;           // the ring of its zone, or of the other ones, while it is listed
-    int in_flight = 0;     // attempts of ours
+    std::vector<Service> services;             // by class
+    std::uint64_t turn = 0;                    // its place in the order of shares
+    std::vector<std::size_t>* ring = nullptr;  // of its zone, or of the other ones, while it is listed
+    int in_flight = 0;                         // attempts of ours
     bool linked = false;   // connections of ours may be open there: any doubt counts, for rule 5
     bool refused = false;  // the last attempt that ended there got no connection
     Time idle_since{};     // when the last outcome came from there
@@ -254,8 +253,7 @@
         const double usual = state.usual.mean.value + t1_deviations * state.usual.deviation;
         state.t1_us =
             state.usual.mean.samples == 0 ? t1_most * aim : std::clamp(usual, t1_least * aim, t1_most * aim);
-        longest_t1_us_ = 0;
-        for (const auto& each : classes_) longest_t1_us_ = std::max(longest_t1_us_, each.t1_us);
+        longest_t1_us_ = std::ranges::max(classes_, {}, &ClassState::t1_us).t1_us;
     }
 
     // T1 is learned from time-outs too, or it would fall with each: such a latency counts twice the timer.
@@ -268,9 +266,8 @@
         ClassState& state = classes_[c];
         state.latency.learn(latency_us, latency_weight);
         // Bounded by the first guess: a start under overload must not teach its latencies.
-        const double most =
-            knows_base(state) ? state.base_us * (1 + base_creep) : base_guess * us(s_.classes[c].aim);
-        state.base_us = std::min(most, state.latency.value);
+        const double creep = knows_base(state) ? 1 + base_creep : 1;
+        state.base_us = std::min(base_us(c) * creep, state.latency.value);
     }
 
     static bool knows_base(const ClassState& state) { return state.latency.samples >= base_answers; }
@@ -424,11 +421,9 @@
         const bool listed = u.entry.state != UpstreamState::gone;
         const auto ring = listed ? (in_home_zone(u) ? &home_ring_ : &away_ring_) : nullptr;
         if (ring == u.ring) return;
-        const auto before = [&](std::size_t a, std::size_t b) {
-            return upstreams_[a].turn < upstreams_[b].turn;
-        };
-        if (u.ring) u.ring->erase(std::lower_bound(u.ring->begin(), u.ring->end(), i, before));
-        if (ring) ring->insert(std::lower_bound(ring->begin(), ring->end(), i, before), i);
+        const auto turn_of = [&](std::size_t each) { return upstreams_[each].turn; };
+        if (u.ring) u.ring->erase(std::ranges::lower_bound(*u.ring, u.turn, {}, turn_of));
+        if (ring) ring->insert(std::ranges::lower_bound(*ring, u.turn, {}, turn_of), i);
         u.ring = ring;
     }
 
@@ -631,8 +626,7 @@
     // the window, and a connection may come up later than that.
     Time send_by(const Open& r) const {
         const ClassSettings& c = s_.classes[class_of(r)];
-        const auto ran = std::find_if(r.attempts.begin(), r.attempts.end(),
-                                      [](const Attempt& a) { return a.may_have_run; });
+        const auto ran = std::ranges::find_if(r.attempts, &Attempt::may_have_run);
         if (c.effect != Effect::keyed || ran == r.attempts.end()) return r.request.deadline;
         return std::min(r.request.deadline, ran->sent_at + c.window - s_.tick);
     }
@@ -782,11 +776,9 @@
 
     // -------------------------------------------------------------------------------------- 5. health
 
-    bool fit(const Upstream& u, Time now) const { return !u.out && !silent(u, now); }
-
-    bool silent(const Upstream& u, Time now) const {
-        return u.in_flight > 1 &&
-               us(now - std::max(u.answered_at, u.busy_since)) > silence_t1s * longest_t1_us_;
+    bool fit(const Upstream& u, Time now) const {
+        const double silent_us = us(now - std::max(u.answered_at, u.busy_since));
+        return !u.out && (u.in_flight <= 1 || silent_us <= silence_t1s * longest_t1_us_);
     }
 
     void learn_health(Upstream& u, Outcome outcome, std::size_t c, Time now) {
@@ -964,8 +956,7 @@
     bool may_refuse(const Open& r) const {
         const ClassSettings& c = s_.classes[class_of(r)];
         if (c.effect == Effect::safe || (c.effect == Effect::keyed && c.group == Group::all)) return true;
-        return std::none_of(r.attempts.begin(), r.attempts.end(),
-                            [](const Attempt& a) { return a.may_have_run; });
+        return std::ranges::none_of(r.attempts, &Attempt::may_have_run);
     }
 
     // Latency beyond which a request is not sent: its aim, less what it leaves to classes worth more.
@@ -1056,8 +1047,7 @@
     std::uint32_t beat_serial_ = 0;
 
     std::vector<std::size_t> home_ring_, away_ring_;  // those listed, in the order in which shares take them
-    double zone_delay_ =
-        1;  // smoothed delay of the own zone, as a share of the aim; at first the list decides
+    double zone_delay_ = 1;  // smoothed, of the own zone, as a share of the aim; at first the list decides
     std::vector<std::size_t> busy_;   // those with attempts of ours in flight
     int out_ = 0;                     // how many are put out
     Time submitted_at_{};             // when the last attempt began
--- a/src/policy/list_subscription.cpp
+++ b/src/policy/list_subscription.cpp
@@ -139,7 +139,7 @@
     refuses_ = true;
     extend(told_at_);
     refused_gap_ = std::clamp(2 * refused_gap_, refused_gap_least, refused_gap_most);
-    return refused_gap_ / 2 + random_part(refused_gap_);
+    return refused_gap_ / 2 + micros(random_.unit() * us(refused_gap_));
 }
 
 // Guards against a fleet whose own calls are the crowd that they hang in: where discovery was up, and has
@@ -184,6 +184,4 @@
     return micros(share * us(settings_.ask_within));
 }
 
-Micros ListSubscription::random_part(Micros most) { return micros(random_.unit() * us(most)); }
-
 }  // namespace flaxdoor
--- a/src/policy/list_subscription.h
+++ b/src/policy/list_subscription.h
@@ -43,7 +43,6 @@
     void extend(Time told_at);
     double draw_slot();
     Micros spread() const;
-    Micros random_part(Micros most);
 
     const Settings& settings_;
     util::Random& random_;
