--- a/tests/fleet_discovery_test.cpp
+++ b/tests/fleet_discovery_test.cpp
@@ -399,9 +399,14 @@
 
 class FleetInAnOutage : public FleetBeforeDiscovery {
 protected:
-    void service_goes_on();
+    void service_goes_on(Micros outage = seconds(8));
 };
 
+using FleetInALongOutage = FleetInAnOutage;
+
+// Guards against a list that goes out of use between calls which come further and further apart.
+TEST_P(FleetInALongOutage, ServiceGoesOn) { service_goes_on(std::chrono::minutes(10)); }
+
 // The protocol page allows both: calls to a discovery that is down end with 503, at once or later.
 TEST_P(FleetInAnOutage, ServiceGoesOn) { service_goes_on(); }
 
@@ -412,13 +417,13 @@
     service_goes_on();
 }
 
-void FleetInAnOutage::service_goes_on() {
+void FleetInAnOutage::service_goes_on(Micros outage) {
     constexpr Micros most_pause = milliseconds(1500);
     start(false);
     ASSERT_NO_FATAL_FAILURE(settle());
     clock.run_for(shift());
     discovery->go_down();
-    clock.run_for(seconds(8));
+    clock.run_for(outage);
     discovery->come_back();
     // What might have changed meanwhile counts as told by then, and every instance has heard that nothing
     // has.
@@ -530,6 +535,10 @@
                          testing::ValuesIn(cases({seconds(12)}, 1, Discoveries::overbooked)), param_name);
 INSTANTIATE_TEST_SUITE_P(OverbookedFor5s, FleetInAnOutage,
                          testing::ValuesIn(cases({seconds(5)}, 1, Discoveries::overbooked)), param_name);
+INSTANTIATE_TEST_SUITE_P(Ample, FleetInALongOutage,
+                         testing::Values(Case{30, milliseconds(500), seconds(1), Overload::refuse_at_once, 1},
+                                         Case{30, milliseconds(2000), seconds(1), Overload::work_off, 1}),
+                         param_name);
 INSTANTIATE_TEST_SUITE_P(LargestFleet, FleetBeforeDiscovery,
                          testing::ValuesIn(largest_fleet(Discoveries::ample)), param_name);
 INSTANTIATE_TEST_SUITE_P(LargestFleetOverbooked, FleetBeforeDiscovery,
