Spread calls over one cycle of an outage, and hold back second calls while the fleet returns

What callers saw: after an outage of minutes requests at draining upstreams, up to 2.1 s past told time and grace (model, 39 of 350 balancers at a grace of 0.5 s, 21 at 2 s; discovery that works off calls given up, 5 s a round).

Cause: a call that hung after the return, in a crowd, moved the use of the list on by 6 s. The crowd came from gaps that brought calls apart by more than a cycle (gap_in_outage), and from balancers answered first that called again at once after their watches had ended (first_call).

Change: gaps fill one cycle, computed from the span of the first calls; after an outage with a crowd the next call comes no sooner than a cycle after the last; a refusal later than told time extends nothing (56 cases of the other suites broke the rule without this, as calls may come later now). least_rate and draw_slot are simpler, without a change.

No other case of the file changed its result.

--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -194,7 +194,7 @@
             set_call_timer();
             return;
         }
-        if (kind != ListKind::cached) subscription_.on_answer();
+        if (kind != ListKind::cached) subscription_.on_answer(now);
         if (kind != ListKind::delta) {
             for (auto& u : upstreams_) u.entry.state = UpstreamState::gone;  // unless the list names it
         }
@@ -922,9 +922,7 @@
 
     // Requests a second that a warm upstream serves for us at least: one in the longest aim for the fleet.
     double least_rate() const {
-        Micros longest{};
-        for (const auto& c : s_.classes) longest = std::max(longest, c.aim);
-        return 1e6 / us(longest) / s_.balancers;
+        return 1e6 / us(std::ranges::max(s_.classes, {}, &ClassSettings::aim).aim) / s_.balancers;
     }
 
     void spend_cold_budget(Upstream& u) { u.cold_budget.tokens -= 1; }
--- a/src/policy/list_subscription.cpp
+++ b/src/policy/list_subscription.cpp
@@ -40,8 +40,9 @@
 
 // Gaps after calls that hang in an outage: the list stays in use over two calls of 2 s and such a gap.
 constexpr Micros outage_gap_first = milliseconds(500);
-constexpr Micros outage_gap_least = milliseconds(950);
 constexpr Micros outage_gap_most = milliseconds(2350);
+constexpr Micros outage_cycle = outage_gap_most + seconds(2);  // from call to call: the gap and the hang
+constexpr Micros crowd_wait = milliseconds(150);
 constexpr int outage_spread_calls = 4;  // so many calls bring those of the fleet apart
 constexpr int unused_gap_part = 4;      // of the time since it began: gaps once the list is no longer used
 constexpr int gap_most = 6;             // times `ask_within`
@@ -73,7 +74,11 @@
     return true;
 }
 
-void ListSubscription::on_answer() {
+void ListSubscription::on_answer(Time now) {
+    const Micros wait = now - called_at_;
+    // Calls of the fleet come faster than discovery works them off, and others were before this one.
+    const bool crowded = wait > crowd_wait && settings_.balancers * wait > outage_cycle;
+    if (!subscribed_ && hung_calls_ > 0 && crowded) recovered_at_ = called_at_;
     subscribed_ = confirmed_ = true;
     refused_gap_ = Micros{0};
     told_at_ = usable_until_ = Time::max();
@@ -82,7 +87,8 @@
 // A discovery that dies resets the subscription, and one that is cut off lets no new connection come up.
 void ListSubscription::on_end(Time now, ListKind kind) {
     const bool was_subscribed = std::exchange(subscribed_, false);
-    slot_ = draw_slot();
+    // By rank, so that the calls of the fleet come one after another.
+    slot_ = (settings_.rank + random_.unit()) / settings_.balancers;
     if (kind == ListKind::moved) {
         up_when_lost_ |= was_subscribed;
         lose(now, now + told_after_move, now + told_after_move);
@@ -109,12 +115,13 @@
     lost_at_ = now;
     told_at_ = std::min(told_at_, told_latest);
     usable_until_ = std::min(usable_until_, told_at + margin_);
-    next_call_ = first_call(now, told_at);
+    // Guards the others of the fleet, which still come back from an outage, against a second call of this
+    // one.
+    next_call_ = std::max(first_call(now, told_at), recovered_at_ + outage_cycle);
 }
 
 Time ListSubscription::first_call(Time now, Time told_at) const {
-    const Micros grace_part = micros(us(settings_.drain_grace) * first_spread);
-    Micros span = std::min(spread(), grace_part > Micros{0} ? grace_part : first_spread_most);
+    Micros span = reset_span();
     if (up_when_lost_) {
         const Time last = std::min(usable_until_ - answer_time, told_at - refusal_time);
         const Micros most = std::max(spread(), settings_.balancers * first_spread_each);
@@ -123,9 +130,14 @@
     return now + micros(slot_ * us(std::min(span, first_spread_most)));
 }
 
+Micros ListSubscription::reset_span() const {
+    const Micros grace_part = micros(us(settings_.drain_grace) * first_spread);
+    return std::min(spread(), grace_part > Micros{0} ? grace_part : first_spread_most);
+}
+
 Micros ListSubscription::gap_after_failure(Time now, ListKind kind) {
     const bool turned_away = kind == ListKind::failed || kind == ListKind::closed;
-    if (turned_away && now - called_at_ < refused_within) return gap_after_refusal();
+    if (turned_away && now - called_at_ < refused_within) return gap_after_refusal(now);
     ++hung_calls_;
     if (kind != ListKind::unreachable) return gap_after_hang(now);
     up_when_lost_ = false;
@@ -134,9 +146,9 @@
     return gap_in_outage(now);
 }
 
-Micros ListSubscription::gap_after_refusal() {
+Micros ListSubscription::gap_after_refusal(Time now) {
     refuses_ = true;
-    extend(told_at_);
+    if (now <= usable_until_ - margin_) extend(told_at_);  // later on it excuses nothing
     refused_gap_ = std::clamp(2 * refused_gap_, refused_gap_least, refused_gap_most);
     return refused_gap_ / 2 + micros(random_.unit() * us(refused_gap_));
 }
@@ -163,20 +175,23 @@
 Micros ListSubscription::gap_in_outage(Time now) const {
     const bool in_use = now < usable_until_;
     const Micros most = std::max(outage_gap_most, in_use ? Micros{0} : (now - lost_at_) / unused_gap_part);
-    Micros least = hung_calls_ == 1 ? outage_gap_first : outage_gap_least;
+    Micros least = hung_calls_ == 1 ? outage_gap_first : outage_gap_least();
     if (hung_calls_ > outage_spread_calls) least = most;
     return std::min(least + micros(slot_ * us(most - least)), (in_use ? 1 : gap_most) * settings_.ask_within);
 }
 
+// The first call, the gap after it and those that follow bring the calls of the fleet apart by one cycle.
+Micros ListSubscription::outage_gap_least() const {
+    const Micros apart = outage_gap_most - outage_gap_first + reset_span();
+    return outage_gap_most - (outage_cycle - apart) / (outage_spread_calls - 1);
+}
+
 // What is missed counts as told no sooner than this.
 void ListSubscription::extend(Time told_at) {
     told_at_ = std::max(told_at_, told_at);
     usable_until_ = std::max(usable_until_, told_at_ + margin_);
 }
 
-// By rank, so that the calls of the fleet come one after another.
-double ListSubscription::draw_slot() { return (settings_.rank + random_.unit()) / settings_.balancers; }
-
 Micros ListSubscription::spread() const {
     const double share = std::clamp(spread_each * settings_.balancers, spread_least, spread_most);
     return micros(share * us(settings_.ask_within));
--- a/src/policy/list_subscription.h
+++ b/src/policy/list_subscription.h
@@ -23,7 +23,7 @@
     bool call_due(Time now);
 
     // Discovery has answered or told a change; the list held is the newest.
-    void on_answer();
+    void on_answer(Time now);
 
     // The call or the subscription is over; `kind` is failed, closed, unreachable, silent or moved.
     void on_end(Time now, ListKind kind);
@@ -35,13 +35,14 @@
 private:
     void lose(Time now, Time told_at, Time told_latest);
     Time first_call(Time now, Time told_at) const;
+    Micros reset_span() const;
+    Micros outage_gap_least() const;
     Micros gap_after_failure(Time now, ListKind kind);
-    Micros gap_after_refusal();
+    Micros gap_after_refusal(Time now);
     Micros gap_after_hang(Time now);
     Micros gap_in_crowd(Time now) const;
     Micros gap_in_outage(Time now) const;
     void extend(Time told_at);
-    double draw_slot();
     Micros spread() const;
 
     const Settings& settings_;
@@ -55,6 +56,7 @@
     int hung_calls_ = 0;         // since then, those that hung or got no connection
     Time lost_at_{};             // when it ended, or when discovery was last known to be down
     Time called_at_{};
+    Time recovered_at_{};  // the call that ended an outage, where others waited too
     Time next_call_{};
     Time told_at_ = Time::max();  // when at the latest what is missed since then counts as told
     Time usable_until_ = Time::max();
