--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -176,9 +176,8 @@
         classes_.resize(s_.classes.size());
         shares_.resize(s_.tenants.size(), TokenBucket{0, now - share_span});
         for (std::size_t c = 0; c < classes_.size(); ++c) update_t1(c);
-        for (std::size_t f = 0; f < s_.report_fields.size(); ++f) {
-            if (s_.report_fields[f] == ReportField::in_flight) in_flight_field_ = f;
-        }
+        const auto in_flight_field = std::ranges::find(s_.report_fields, ReportField::in_flight);
+        in_flight_field_ = static_cast<std::size_t>(in_flight_field - s_.report_fields.begin());
         crowding_at_ = now;
         beat(now);
         rate_window_us_ = std::max(us(s_.ramp_time) / 2, 1e6);
@@ -1033,7 +1032,7 @@
     const Settings s_;
     Actions& actions_;
     Random random_;
-    std::size_t in_flight_field_ = none;
+    std::size_t in_flight_field_ = 0;  // in a report; beyond its end where it has none
     double rate_window_us_ = 0;
     double longest_t1_us_ = 0;  // over all classes
 
--- a/src/policy/list_subscription.cpp
+++ b/src/policy/list_subscription.cpp
@@ -44,7 +44,8 @@
 constexpr Micros outage_cycle = outage_gap_most + seconds(2);  // from call to call: the gap and the hang
 constexpr Micros crowd_wait = milliseconds(150);
 constexpr int outage_spread_calls = 4;  // so many calls bring those of the fleet apart
-constexpr int unused_gap_part = 4;      // of the time since it began: gaps once the list is no longer used
+constexpr int outage_gap_part = 80;     // of the time since it began: later gaps grow with it,
+constexpr int unused_gap_part = 4;      // faster once the list is no longer used
 constexpr int gap_most = 6;             // times `ask_within`
 // A list never confirmed to this process is used no longer on the word of calls that hang.
 constexpr Micros unconfirmed_most = 2 * told_at_most;
@@ -75,9 +76,8 @@
 }
 
 void ListSubscription::on_answer(Time now) {
-    const Micros wait = now - called_at_;
     // Calls of the fleet come faster than discovery works them off, and others were before this one.
-    const bool crowded = wait > crowd_wait && settings_.balancers * wait > outage_cycle;
+    const bool crowded = now - called_at_ > std::max(crowd_wait, outage_cycle / settings_.balancers);
     if (!subscribed_ && hung_calls_ > 0 && crowded) recovered_at_ = called_at_;
     subscribed_ = confirmed_ = true;
     refused_gap_ = Micros{0};
@@ -174,7 +174,8 @@
 // The calls of the fleet come apart by their order, so that those which find discovery back are no crowd.
 Micros ListSubscription::gap_in_outage(Time now) const {
     const bool in_use = now < usable_until_;
-    const Micros most = std::max(outage_gap_most, in_use ? Micros{0} : (now - lost_at_) / unused_gap_part);
+    const Micros most =
+        std::max(outage_gap_most, (now - lost_at_) / (in_use ? outage_gap_part : unused_gap_part));
     Micros least = hung_calls_ == 1 ? outage_gap_first : outage_gap_least();
     if (hung_calls_ > outage_spread_calls) least = most;
     return std::min(least + micros(slot_ * us(most - least)), (in_use ? 1 : gap_most) * settings_.ask_within);
