--- a/tests/modelled_discovery.cpp
+++ b/tests/modelled_discovery.cpp
@@ -363,6 +363,7 @@
 
 void ModelledInstance::on_list(ListKind kind, const std::vector<UpstreamEntry>& entries,
                                std::uint64_t version) {
+    heard_.push_back({clock_.now(), kind});
     policy_->on_list(clock_.now(), kind, entries, version);
 }
 
--- a/tests/modelled_discovery.h
+++ b/tests/modelled_discovery.h
@@ -234,7 +234,15 @@
     ModelledInstance(SimulatedClock& clock, ModelledDiscovery& discovery, const FleetSettings& settings,
                      int rank);
 
+    // What discovery let it hear, and when.
+    struct Heard {
+        Time at;
+        ListKind kind;
+        bool operator==(const Heard&) const = default;
+    };
+
     const std::vector<Submit>& submits() const { return submits_; }
+    const std::vector<Heard>& heard() const { return heard_; }
     const std::vector<Time>& turned_away() const { return turned_away_; }  // refused or failed requests
     // The longest span without a submit from `from` on, up to now.
     Micros longest_pause(Time from) const;
@@ -268,6 +276,7 @@
     std::unordered_map<RequestId, int> attempts_;  // made so far, of the open requests
     std::map<std::pair<RequestId, int>, bool> cancelled_;
     std::vector<Submit> submits_;
+    std::vector<Heard> heard_;
     std::vector<Time> turned_away_;
 };
 
