--- a/tests/modelled_discovery.cpp
+++ b/tests/modelled_discovery.cpp
@@ -275,6 +275,18 @@
 
 }  // namespace
 
+std::vector<UpstreamEntry> upstreams_for(int instances) {
+    constexpr int least = 12;
+    const int count = std::max(least, instances / 8);
+    std::vector<UpstreamEntry> upstreams(static_cast<std::size_t>(count));
+    for (int i = 0; i < count; ++i) {
+        UpstreamEntry& each = upstreams[static_cast<std::size_t>(i)];
+        each.id = static_cast<UpstreamId>(i) + 1;
+        each.zone = i % 2;
+    }
+    return upstreams;
+}
+
 Settings instance_settings(const FleetSettings& fleet, int rank) {
     using std::chrono::milliseconds;
     using std::chrono::seconds;
--- a/tests/modelled_discovery.h
+++ b/tests/modelled_discovery.h
@@ -219,6 +219,9 @@
     std::uint64_t seed = 1;
 };
 
+// Upstreams of two zones, enough that the trickle of requests alone never fills them.
+std::vector<UpstreamEntry> upstreams_for(int instances);
+
 // The settings of one Policy of the fleet.
 Settings instance_settings(const FleetSettings& fleet, int rank);
 
