Give an upstream that has answered twice single-use connections for 3 s in place of 10

Cause: handshakes. A balancer sends most of its requests to a few upstreams, so that 10 s after one second answer most of them went over new connections.

The tests are unchanged.

--- a/src/net/upstreams.h
+++ b/src/net/upstreams.h
@@ -52,7 +52,7 @@
     Micros idle{};     // kept connections are closed after this by the other side; 0: not told
     std::size_t connections = 0;  // in all
     // For so long after an upstream has answered twice, its connections carry one request each.
-    Micros single_use = std::chrono::seconds(10);
+    Micros single_use = std::chrono::seconds(3);
 };
 
 class Upstreams {
