Give the pool of kept connections a module of its own, without a change of behaviour

The pool is now net/connection_pool, which knows neither sockets nor a clock, so that its rules can be tested at exact times.

--- a/src/net/upstreams.cpp
+++ b/src/net/upstreams.cpp
@@ -12,11 +12,6 @@
 namespace {
 
 constexpr RequestId probe_request = 0;  // under which probes go: clients' requests count from 1
-// A second answer may come some milliseconds behind the first. Until then a connection is not used again, or
-// it would be taken for the answer to the next request.
-constexpr Micros rest_least = std::chrono::milliseconds(10);
-constexpr std::size_t most_resting =
-    4;                              // at one upstream: with so many, the one that has rested longest is used
 constexpr double idle_share = 0.9;  // of the told idle limit, after which a kept connection is closed here
 
 Outcome outcome_of(const HttpResponse& answer) {
@@ -54,23 +49,15 @@
 
 // One connection, which carries one exchange at a time. A read is always under way on it, so that its end is
 // noticed at once, also while it is kept.
-class Upstreams::Connection : public std::enable_shared_from_this<Connection> {
+class Upstreams::Connection final : public PooledConnection, public std::enable_shared_from_this<Connection> {
 public:
+    // Takes over a slot of the pool.
     Connection(Upstreams& owner, UpstreamId upstream)
-        : owner_(owner), upstream_(upstream), socket_(owner.loop_), timer_(owner.loop_) {
-        ++owner_.open_;
-    }
-
-    UpstreamId upstream() const { return upstream_; }
-    Time idle_since() const { return since_; }
-    bool is_quiet() { return buffer_.size() == 0 && quiet(socket_); }
+        : owner_(owner), upstream_(upstream), socket_(owner.loop_), timer_(owner.loop_) {}
 
-    // Whether what has come behind the last answer begins a further one: what was read, and what was not yet.
-    bool has_unasked_answer() const {
-        const auto bytes = buffer_.data();
-        return begins_answer({static_cast<const char*>(bytes.data()), bytes.size()});
-    }
-    bool unasked_answer_waits() { return begins_answer(peek(socket_)); }
+    UpstreamId upstream() const override { return upstream_; }
+    bool is_quiet() override { return buffer_.size() == 0 && quiet(socket_); }
+    bool has_second_answer() override { return read_second_answer() || begins_answer(peek(socket_)); }
 
     void connect(const tcp::endpoint& address, AttemptKey attempt, HttpRequest request, Time expires,
                  Time send_by) {
@@ -121,24 +108,24 @@
     // Has the last byte been handed over? Until then it has not run.
     bool whole() const { return connected_ && written_ == out_.size(); }
 
-    void close() {
+    void close() override {
         if (closed_) return;
         closed_ = true;
         timer_.cancel();
         error_code ignored;
         socket_.close(ignored);
-        --owner_.open_;
+        owner_.pool_.release_slot();
     }
 
-    void rest() {
-        since_ = owner_.clock_.now();
+private:
+    // The connection is kept: closes it before the upstream does.
+    void arm_idle_close(Time now) {
         timer_.cancel();
         if (owner_.limits_.idle <= Micros{0}) return;
         const auto trusted = static_cast<double>(owner_.limits_.idle.count()) * idle_share;
-        arm(since_ + Micros(std::llround(trusted)));
+        arm(now + Micros(std::llround(trusted)));
     }
 
-private:
     void begin(AttemptKey attempt, HttpRequest request, Time expires, Time send_by) {
         attempt_ = attempt;
         request_ = std::move(request);
@@ -179,7 +166,7 @@
     // A request of which the last byte was never handed over has not run, whatever ended it.
     void time_up() {
         if (!attempt_) {
-            owner_.forget(shared_from_this());
+            owner_.pool_.discard(shared_from_this());
         } else if (whole()) {
             end(Outcome::timeout);
         } else if (owner_.clock_.now() >= send_by_) {
@@ -210,11 +197,17 @@
                                 });
     }
 
+    // What was read behind the last answer begins a further one.
+    bool read_second_answer() const {
+        const auto bytes = buffer_.data();
+        return begins_answer({static_cast<const char*>(bytes.data()), bytes.size()});
+    }
+
     void take(error_code ended) {
         if (!attempt_) {  // kept: whatever comes now, its end or bytes that nobody asked for, it is done
             const auto self = shared_from_this();
-            owner_.forget(self);
-            if (has_unasked_answer()) owner_.on_unasked_answer(upstream_);
+            owner_.pool_.discard(self);
+            if (read_second_answer()) owner_.pool_.on_second_answer(upstream_, owner_.clock_.now());
             return;
         }
         error_code error;
@@ -252,24 +245,26 @@
         HttpResponse answer = parser_->release();
         const Outcome outcome = outcome_of(answer);
         const bool refused = outcome == Outcome::full;
-        if (has_unasked_answer()) owner_.on_unasked_answer(upstream_);
+        const Time now = owner_.clock_.now();
+        if (read_second_answer()) owner_.pool_.on_second_answer(upstream_, now);
         // Before the request is whole there is nothing to answer but that it will not be taken, and behind a
         // refusal comes nothing.
         if (refused ? buffer_.size() > 0 : !whole()) return unreadable();
         // An answer to a request that is not whole yet leaves the framing in doubt.
-        const bool reusable =
-            !ended && whole() && answer.keep_alive() && buffer_.size() == 0 && !owner_.single_use(upstream_);
+        const bool reusable = !ended && whole() && answer.keep_alive() && buffer_.size() == 0 &&
+                              owner_.pool_.keeps(upstream_, now);
         const bool doubtful = refused && reused_ && whole();
         const auto self = shared_from_this();
         const AttemptKey attempt = *attempt_;
         const Time sent_at = since_;
         const bool of_client = attempt.request != probe_request;
-        if (refused && of_client) owner_.refusals_.count(upstream_, expires_ - owner_.clock_.now());
+        if (refused && of_client) owner_.refusals_.count(upstream_, expires_ - now);
         attempt_.reset();
         owner_.attempts_.erase(attempt);
         if (reusable) {
             read();
-            owner_.keep(self);
+            arm_idle_close(now);
+            owner_.pool_.keep(self, now);
         } else {
             close();
         }
@@ -295,7 +290,7 @@
     HttpRequest request_;  // until it is serialized
     std::string out_;
     std::size_t written_ = 0;
-    Time since_{};  // when the attempt was sent, or when the connection was put by
+    Time since_{};  // when the attempt was sent
     Time expires_{};
     Time send_by_{};  // not after `expires_`
     bool connected_ = false;
@@ -309,45 +304,37 @@
       clock_(clock),
       limits_(limits),
       report_fields_(std::move(report_fields)),
-      events_(events) {}
+      events_(events),
+      pool_({limits.connections, limits.single_use}) {}
 
 Upstreams::~Upstreams() { stop(); }
 
 void Upstreams::set_address(UpstreamId upstream, const tcp::endpoint& address) {
-    Pool& pool = pools_[upstream];
-    if (pool.address == address) return;
-    pool.address = address;
+    const auto [found, added] = addresses_.try_emplace(upstream, address);
+    if (added || found->second == address) return;
+    found->second = address;
     close_idle(upstream);  // they lead to where it was
 }
 
-void Upstreams::close_idle(UpstreamId upstream) {
-    const auto pool = pools_.find(upstream);
-    if (pool == pools_.end()) return;
-    for (const auto& link : pool->second.idle) link->close();
-    pool->second.idle.clear();
-}
+void Upstreams::close_idle(UpstreamId upstream) { pool_.close_kept(upstream); }
 
-std::size_t Upstreams::idle(UpstreamId upstream) const {
-    const auto pool = pools_.find(upstream);
-    return pool == pools_.end() ? 0 : pool->second.idle.size();
-}
+std::size_t Upstreams::idle(UpstreamId upstream) const { return pool_.kept(upstream); }
 
 void Upstreams::send(AttemptKey attempt, UpstreamId upstream, HttpRequest request, Time expires,
                      Time send_by) {
     const Time now = clock_.now();
-    const auto found = pools_.find(upstream);
-    if (now >= expires || found == pools_.end() || !found->second.address) {
+    const auto address = addresses_.find(upstream);
+    if (now >= expires || address == addresses_.end()) {
         report(attempt, upstream, Outcome::moot, now);
         return;
     }
-    Pool& pool = found->second;
-    if (Link link = take_idle(pool)) {
-        attempts_.emplace(attempt, link);
-        link->reuse(attempt, std::move(request), expires, send_by);
-    } else if (make_room()) {
-        link = std::make_shared<Connection>(*this, upstream);
-        attempts_.emplace(attempt, link);
-        link->connect(*pool.address, attempt, std::move(request), expires, send_by);
+    if (const auto kept = std::static_pointer_cast<Connection>(pool_.take(upstream, now))) {
+        attempts_.emplace(attempt, kept);
+        kept->reuse(attempt, std::move(request), expires, send_by);
+    } else if (pool_.acquire_slot()) {
+        const auto opened = std::make_shared<Connection>(*this, upstream);
+        attempts_.emplace(attempt, opened);
+        opened->connect(address->second, attempt, std::move(request), expires, send_by);
     } else {
         report(attempt, upstream, Outcome::moot, now);
     }
@@ -359,83 +346,25 @@
     send({probe_request, ++probes_}, upstream, std::move(request), expires, expires);
 }
 
-// Guards against a kept connection that has ended unnoticed so far: what is written to it would be a reset,
-// and may have run.
-Upstreams::Link Upstreams::take_idle(Pool& pool) {
-    const Time now = clock_.now();
-    const auto rests = [&](const Link& link) { return link->idle_since() > now - rest_least; };
-    for (;;) {
-        auto at = std::find_if(pool.idle.begin(), pool.idle.end(), rests);
-        if (at != pool.idle.begin()) {
-            --at;  // the one used last of those that have rested
-        } else if (pool.idle.size() < most_resting) {
-            return nullptr;
-        }
-        const Link link = std::move(*at);
-        pool.idle.erase(at);
-        if (link->is_quiet()) return link;
-        ++figures_.stale;
-        const bool unasked = link->unasked_answer_waits();
-        link->close();
-        if (unasked) on_unasked_answer(link->upstream());
-    }
-}
-
-// Guards against a second answer that comes after a connection has rested: answers name no request, so it
-// would be given to the next one. An upstream that has answered twice may do so again.
-void Upstreams::on_unasked_answer(UpstreamId upstream) {
-    ++figures_.answered_twice;
-    pools_[upstream].single_use_until = clock_.now() + limits_.single_use;
-    close_idle(upstream);
-}
-
-bool Upstreams::single_use(UpstreamId upstream) const {
-    const auto pool = pools_.find(upstream);
-    return pool != pools_.end() && clock_.now() < pool->second.single_use_until;
-}
-
-// At the cap, the connection that was kept longest makes room.
-bool Upstreams::make_room() {
-    if (open_ < limits_.connections) return true;
-    Link oldest;
-    for (const auto& [upstream, pool] : pools_) {
-        if (pool.idle.empty()) continue;
-        if (!oldest || pool.idle.front()->idle_since() < oldest->idle_since()) oldest = pool.idle.front();
-    }
-    if (!oldest) return false;
-    forget(oldest);
-    return true;
-}
-
 void Upstreams::cancel(AttemptKey attempt) {
     const auto found = attempts_.find(attempt);
     if (found == attempts_.end()) return;
-    const Link link = found->second;
-    link->cancel();
+    const ConnectionPtr connection = found->second;
+    connection->cancel();
 }
 
 void Upstreams::withdraw(const std::function<bool(AttemptKey, UpstreamId)>& concerned) {
-    std::vector<Link> links;
-    for (const auto& [attempt, link] : attempts_) {
-        if (!link->whole() && concerned(attempt, link->upstream())) links.push_back(link);
+    std::vector<ConnectionPtr> unwritten;
+    for (const auto& [attempt, connection] : attempts_) {
+        if (!connection->whole() && concerned(attempt, connection->upstream()))
+            unwritten.push_back(connection);
     }
-    for (const Link& link : links) {
+    for (const ConnectionPtr& connection : unwritten) {
         ++figures_.withdrawn;
-        link->withdraw();
+        connection->withdraw();
     }
 }
 
-void Upstreams::keep(const Link& link) {
-    link->rest();
-    pools_[link->upstream()].idle.push_back(link);
-}
-
-void Upstreams::forget(const Link& link) {
-    const Link held = link;
-    std::erase(pools_[held->upstream()].idle, held);
-    held->close();
-}
-
 void Upstreams::report(AttemptKey attempt, UpstreamId upstream, Outcome outcome, Time sent_at,
                        HttpResponse answer, bool doubtful) {
     const Micros latency = clock_.now() - sent_at;
@@ -458,6 +387,7 @@
 
 std::string Upstreams::figures() {
     const Figures f = std::exchange(figures_, {});
+    const ConnectionPool::Figures pool = pool_.take_figures();
     if (f.sent == 0) return {};
     char line[320];
     std::snprintf(line, sizeof line,
@@ -465,9 +395,9 @@
                   "open, %u made "
                   "(slowest %.1f ms), "
                   "%u refused, %u too slow, %u broke unwritten, %u found ended, %u answered twice",
-                  f.sent, f.unreadable, f.reset, f.timeout, f.moot, f.withdrawn, open_, f.made,
-                  static_cast<double>(f.slowest.count()) / 1e3, f.refused, f.slow, f.unwritten, f.stale,
-                  f.answered_twice);
+                  f.sent, f.unreadable, f.reset, f.timeout, f.moot, f.withdrawn, pool_.open(), f.made,
+                  static_cast<double>(f.slowest.count()) / 1e3, f.refused, f.slow, f.unwritten, pool.stale,
+                  pool.second_answers);
     std::string text = line;
     if (const std::string refusals = refusals_.take_text(); !refusals.empty())
         text.append("; ").append(refusals);
@@ -475,11 +405,8 @@
 }
 
 void Upstreams::stop() {
-    for (auto& [upstream, pool] : pools_) {
-        for (const auto& link : pool.idle) link->close();
-        pool.idle.clear();
-    }
-    for (const auto& [attempt, link] : attempts_) link->close();
+    pool_.close_all();
+    for (const auto& [attempt, connection] : attempts_) connection->close();
     attempts_.clear();
 }
 
--- a/src/net/upstreams.h
+++ b/src/net/upstreams.h
@@ -1,4 +1,4 @@
-// Connections to upstreams: pools of kept ones, the attempts on them, what came of each, and load reports.
+// Attempts at upstreams: the connections that carry them, what came of each, and load reports.
 #pragma once
 
 #include <boost/asio/io_context.hpp>
@@ -15,6 +15,7 @@
 
 #include "flaxdoor/decide.h"
 #include "net/clock.h"
+#include "net/connection_pool.h"
 #include "net/http.h"
 #include "net/refusal_tally.h"
 
@@ -50,9 +51,8 @@
 struct UpstreamLimits {
     Micros connect{};  // a connection that is not made after this has failed; 0: no limit of its own
     Micros idle{};     // kept connections are closed after this by the other side; 0: not told
-    std::size_t connections = 0;  // in all
-    // For so long after an upstream has answered twice, its connections carry one request each.
-    Micros single_use = std::chrono::seconds(3);
+    std::size_t connections = 0;                            // in all
+    Micros single_use = ConnectionPoolLimits{}.single_use;  // as the pool's
 };
 
 class Upstreams {
@@ -80,26 +80,15 @@
 
 private:
     class Connection;
-    using Link = std::shared_ptr<Connection>;
-    struct Pool {
-        std::optional<boost::asio::ip::tcp::endpoint> address;
-        std::vector<Link> idle;  // the one used last stands last
-        Time single_use_until{};
-    };
+    using ConnectionPtr = std::shared_ptr<Connection>;
 
     // Tells apart what the policy hears of as one outcome.
     struct Figures {
-        unsigned sent = 0, made = 0, refused = 0, slow = 0, unwritten = 0, stale = 0, unreadable = 0,
-                 reset = 0, timeout = 0, moot = 0, withdrawn = 0, answered_twice = 0;
+        unsigned sent = 0, made = 0, refused = 0, slow = 0, unwritten = 0, unreadable = 0, reset = 0,
+                 timeout = 0, moot = 0, withdrawn = 0;
         Micros slowest{};  // of the connections made
     };
 
-    Link take_idle(Pool& pool);
-    void on_unasked_answer(UpstreamId upstream);
-    bool single_use(UpstreamId upstream) const;
-    bool make_room();
-    void keep(const Link& link);
-    void forget(const Link& link);
     void report(AttemptKey attempt, UpstreamId upstream, Outcome outcome, Time sent_at,
                 HttpResponse answer = {}, bool doubtful = false);
 
@@ -108,9 +97,9 @@
     const UpstreamLimits limits_;
     const std::vector<std::string> report_fields_;
     UpstreamEvents& events_;
-    std::unordered_map<UpstreamId, Pool> pools_;
-    std::map<AttemptKey, Link> attempts_;
-    std::size_t open_ = 0;
+    std::unordered_map<UpstreamId, boost::asio::ip::tcp::endpoint> addresses_;
+    ConnectionPool pool_;
+    std::map<AttemptKey, ConnectionPtr> attempts_;
     int probes_ = 0;
     Figures figures_;
     RefusalTally refusals_;
