--- a/tests/peers.h
+++ b/tests/peers.h
@@ -3,6 +3,8 @@
 #pragma once
 
 #include <gtest/gtest.h>
+#include <linux/sockios.h>
+#include <sys/ioctl.h>
 
 #include <boost/asio.hpp>
 #include <chrono>
@@ -48,6 +50,12 @@
         boost::system::error_code ignored;
         asio::write(socket_, asio::buffer(text.data(), text.size()), ignored);
     }
+    // How many of the bytes that were said have not yet reached the other side's socket.
+    int undelivered() const {
+        int bytes = 0;
+        EXPECT_EQ(::ioctl(const_cast<tcp::socket&>(socket_).native_handle(), SIOCOUTQ, &bytes), 0);
+        return bytes;
+    }
     void close() { socket_.close(); }
     void reset() {
         socket_.set_option(asio::socket_base::linger(true, 0));
