Show a second answer that is given on because it is read but not yet handed over

Symptom: a second answer that comes at once with the first one reaches another client, though the rest of 10 ms is kept. Found beside the early use of resting connections; it does not go away with that.

Cause: Connection::answered() starts the next read before it keeps the connection. async_read_some tries to read at once. Where the second answer stands in the socket by then, its bytes go into the buffer that was prepared, and the handler that commits them is queued. Until it runs, buffer_.size() is 0 and the socket has no bytes, so is_quiet() is true. If that turn of the loop lasts longer than the rest, a client's request that stands in the queue before the handler takes the connection, and then gets the second answer.

SecondAnswerInAHeldUpTurn.ReachesNoOtherRequest brings it about: a first answer that ends with what is read at once (8,192 bytes), the second right behind it, and a turn held up for 12 ms before the next client's request.

--- a/tests/second_answer_load_test.cpp
+++ b/tests/second_answer_load_test.cpp
@@ -13,9 +13,11 @@
 #include <stdexcept>
 #include <string>
 #include <string_view>
+#include <thread>
 #include <vector>
 
 #include "peers.h"
+#include "slow_upstream.h"
 
 namespace flaxdoor::test {
 
@@ -423,6 +425,59 @@
 INSTANTIATE_TEST_SUITE_P(Loads, SecondAnswersUnderLoad, ::testing::ValuesIn(loads()),
                          [](const auto& info) { return name_of(info.param); });
 
+// Holds up the loop once, for longer than a connection rests, in the turn in which it is told to.
+class HoldUp {
+public:
+    explicit HoldUp(asio::io_context& loop) : near_(loop), far_(loop) {
+        tcp::acceptor acceptor(loop, loopback());
+        near_.connect(acceptor.local_endpoint());
+        acceptor.accept(far_);
+        far_.async_wait(tcp::socket::wait_read, [](boost::system::error_code error) {
+            if (!error) std::this_thread::sleep_for(rest_least + milliseconds(2));
+        });
+        loop.poll();
+    }
+
+    void begin() { asio::write(near_, asio::buffer("x", 1)); }
+
+private:
+    tcp::socket near_;
+    tcp::socket far_;
+};
+
+// An answer that takes so many bytes in all.
+std::string answer_of_size(std::size_t bytes) {
+    const std::size_t framing = ok(std::string(bytes, '.')).size() - bytes;
+    return ok(std::string(bytes - framing, '.'));
+}
+
+// What the second client gets where both answers to the first one's request come at once, and the second
+// one's request comes in the same turn, which is held up between the two.
+std::string next_after_both_answers(std::size_t bytes_of_first) {
+    Stage s(1);
+    s.start();
+    const auto one = s.client();
+    const auto two = s.client();
+    one->say(look(5000, "one"));
+    const auto wire = s.request().first;
+    settle(s);
+    HoldUp hold_up(s.loop);
+    wire->say(answer_of_size(bytes_of_first) + ok("to the first, again"));
+    hold_up.begin();
+    two->say(look(5000, "two"));
+    s.request().first->say(ok("to the second"));
+    return s.answer(*two);
+}
+
+// Guards against a second answer that the system has handed over and the loop has not: where the first ends
+// with what is read at once, the next read has the second already, and its connection looks quiet. The sizes
+// are those that a read may have.
+TEST(SecondAnswerInAHeldUpTurn, ReachesNoOtherRequest) {
+    for (const std::size_t bytes : {4096U, 8192U, 16384U}) {
+        EXPECT_TRUE(has(next_after_both_answers(bytes), "to the second")) << bytes << " bytes";
+    }
+}
+
 }  // namespace
 
 }  // namespace flaxdoor::test
