--- a/tests/crossing_test.cpp
+++ b/tests/crossing_test.cpp
@@ -5,6 +5,7 @@
 
 #include <set>
 
+#include "discovery_peer.h"
 #include "peers.h"
 #include "slow_upstream.h"
 
@@ -14,18 +15,6 @@
 
 // ------------------------------------------------------------------------------------------------- lists
 
-const char* const watch_head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
-
-std::string chunk(const std::string& text) {
-    std::ostringstream size;
-    size << std::hex << text.size();
-    return size.str() + "\r\n" + text + "\r\n";
-}
-
-bool asked(const Listener& discovery, std::size_t n) {
-    return discovery.wires.size() >= n && has(discovery.wires[n - 1]->in, "\r\n\r\n");
-}
-
 // Six requests one after another: none of them may reach the first upstream.
 void expect_none_to_first(Stage& s) {
     const auto client = s.client();
