Test where else an answer could reach another than the one it is meant for

Each was seen to fail with a scratch change of src, not committed:

- a second answer or refusal that has come before the next request, between probes and clients, read or unread: kept connections taken without the look at what has come, and no rest;
- a keyed request turned away on a used connection is failed (502), not refused: `doubtful = false` gives 503;
- two answers to a call for the list; an answer behind the last chunk of a watch: what stands behind the end handed on;
- what is answered here behind a request that waits: take() while a request is out;
- two requests with one call id, answered in the other order: Clients::answer takes the oldest that waits;
- a request cut in its head behind another: the buffer emptied in written();
- half or all of a request behind one whose client goes: dispatched as its head has come, or taken in gone() with the look for the end before a send switched off (either guard alone holds).

--- /dev/null
+++ b/tests/crossed_answers_test.cpp
@@ -0,0 +1,286 @@
+// Answers that could reach another than the one they are meant for: on connections to upstreams that probes
+// and clients share, on those to discovery, and on those of clients.
+#include <gtest/gtest.h>
+
+#include "discovery_peer.h"
+#include "peers.h"
+#include "slow_upstream.h"
+
+namespace flaxdoor::test {
+
+namespace {
+
+// ------------------------------------------------------------------------- connections to upstreams, by hand
+
+// Far longer than a connection rests after an answer.
+constexpr auto longer_than_rest = std::chrono::milliseconds(200);
+
+enum class Asker { client, probe };
+
+const std::vector<std::string> report_fields = {"active", "avg_ms"};
+const std::string report_body = "active=1,avg_ms=2";
+const std::string other_report_body = "active=8,avg_ms=9";
+
+// What came of clients' attempts and of probes, in order.
+struct Results : net::UpstreamEvents {
+    std::vector<net::AttemptResult> attempts;
+    std::vector<ProbeResult> probes;
+
+    void on_attempt_result(net::AttemptResult result) override { attempts.push_back(std::move(result)); }
+    void on_connection(net::AttemptKey) override {}
+    void on_probe_result(ProbeResult result) override { probes.push_back(std::move(result)); }
+    std::size_t count() const { return attempts.size() + probes.size(); }
+};
+
+// Connections to upstreams without a host round them.
+struct Connections {
+    static constexpr UpstreamId id = 1;
+
+    Connections() { upstreams.set_address(id, stage.upstreams[0]->address()); }
+
+    void send(Asker asker) {
+        const Time expires = clock.now() + std::chrono::seconds(15);
+        if (asker == Asker::probe) {
+            upstreams.probe(id, "/status/load", expires);
+        } else {
+            net::HttpRequest request(boost::beast::http::verb::get, "/api", 11);
+            upstreams.send({++requests, 0}, id, std::move(request), expires, expires);
+        }
+    }
+    // The answer to the request that is out.
+    void answer(Wire& wire, const std::string& bytes) {
+        const std::size_t known = results.count();
+        wire.say(bytes);
+        stage.until([&] { return results.count() > known; });
+    }
+    // One whole exchange, and the connection that it went over.
+    std::shared_ptr<Wire> exchange(Asker asker) {
+        send(asker);
+        const auto wire = stage.request().first;
+        answer(*wire, ok(report_body));
+        return wire;
+    }
+    void pass(std::chrono::milliseconds span) {
+        const auto over = std::chrono::steady_clock::now() + span;
+        stage.until([&] { return std::chrono::steady_clock::now() >= over; });
+    }
+    // The last result of this kind is that of an answer with this body.
+    void expect_answered(Asker asker, const std::string& body) const {
+        if (asker == Asker::probe) {
+            EXPECT_EQ(results.probes.back().outcome, Outcome::ok);
+            EXPECT_EQ(results.probes.back().report, net::parse_report(body, report_fields));
+        } else {
+            EXPECT_EQ(results.attempts.back().outcome, Outcome::ok);
+            EXPECT_EQ(results.attempts.back().answer.body(), body);
+        }
+    }
+
+    Stage stage{2};
+    const net::Clock clock;
+    Results results;
+    net::Upstreams upstreams{stage.loop, clock, {std::chrono::seconds(5), {}, 8}, report_fields, results};
+    RequestId requests = 0;
+};
+
+struct Pair {
+    Asker first, next;
+};
+
+constexpr Pair mixed_pairs[] = {{Asker::probe, Asker::client}, {Asker::client, Asker::probe}};
+
+// A second answer, be it a refusal, that has come before the next request goes out, read or unread.
+TEST(CrossedProbes, ASecondAnswerThatHasComeReachesNeitherAClientNorAProbe) {
+    for (const auto& [first, next] : mixed_pairs) {
+        for (const std::string& second_answer : {ok(other_report_body), turned_away}) {
+            for (const bool read : {true, false}) {
+                Connections c;
+                const auto wire = c.exchange(first);
+                wire->say(second_answer);
+                if (read) c.stage.until([&] { return wire->ended; });
+                c.send(next);
+                const auto other = c.stage.request().first;
+                EXPECT_TRUE(other != wire);
+                c.answer(*other, ok(report_body));
+                c.expect_answered(next, report_body);
+            }
+        }
+    }
+}
+
+// --------------------------------------------------------------------------------- refusals, before a host
+
+// A refusal on a connection that has carried another request may be a second answer to that one: a keyed
+// request that it meets may run, so that its client is not told that nothing has happened.
+TEST(CrossedRefusals, AKeyedRequestThatMayRunIsNotAnsweredAsRefused) {
+    Stage s(1);
+    s.config["settings"]["limits"]["max_attempts"] = 1;
+    s.start();
+    const auto client = s.client();
+    client->say(book());
+    const auto wire = s.request().first;
+    wire->say(ok());
+    EXPECT_EQ(status(s.answer(*client)), 200);
+    const auto rested = std::chrono::steady_clock::now() + longer_than_rest;
+    s.until([&] { return std::chrono::steady_clock::now() >= rested; });
+    client->say(book());
+    const auto next = s.request().first;
+    ASSERT_TRUE(next == wire) << "the connection was not kept";
+    next->say(turned_away);
+    EXPECT_EQ(status(s.answer(*client)), 502);
+}
+
+// ----------------------------------------------------------------------------------------------- discovery
+
+// What the client of discovery reports, in order.
+struct Reports : net::DiscoveryEvents {
+    std::vector<net::List> lists;
+    std::vector<net::ListFailure> failures;
+
+    void on_list(net::List list) override { lists.push_back(std::move(list)); }
+    void on_list_failed(net::ListFailure failure) override { failures.push_back(failure); }
+    std::vector<std::uint64_t> versions() const {
+        std::vector<std::uint64_t> all;
+        for (const net::List& each : lists) all.push_back(each.version);
+        return all;
+    }
+};
+
+// Behind the answer to a call stands a second one, in the same piece or in one that comes later: the next
+// call gets its own answer.
+TEST(CrossedDiscovery, ASecondAnswerToACallIsNeverTaken) {
+    const net::ListNames names{{"here", "there"}, {"full node"}};
+    for (const bool in_one_piece : {true, false}) {
+        Stage s;
+        Reports reports;
+        net::Discovery client(s.loop, s.discovery.address(), names, reports);
+        client.fetch();
+        s.until([&] { return asked(s.discovery, 1); });
+        const auto wire = s.discovery.wires[0];
+        const std::string first = ok(s.list(8, true).dump()), second = ok(s.list(9, true).dump());
+        wire->say(in_one_piece ? first + second : first);
+        s.until([&] { return !reports.lists.empty(); });
+        client.fetch();
+        s.until([&] { return asked(s.discovery, 2); });
+        if (!in_one_piece) wire->say(second);
+        s.discovery.wires[1]->say(ok(s.list(10, true).dump()));
+        s.until([&] { return reports.lists.size() >= 2; });
+        EXPECT_EQ(reports.versions(), (std::vector<std::uint64_t>{8, 10})) << in_one_piece;
+        EXPECT_TRUE(reports.failures.empty()) << in_one_piece;
+    }
+}
+
+// Behind the last chunk of a watch stands another answer: neither it nor what comes later on that connection
+// reaches the next watch.
+TEST(CrossedDiscovery, AnAnswerBehindTheEndOfAWatchIsNeverTaken) {
+    const net::ListNames names{{"here", "there"}, {"full node"}};
+    Stage s;
+    Reports reports;
+    net::Discovery client(s.loop, s.discovery.address(), names, reports);
+    client.watch();
+    s.until([&] { return asked(s.discovery, 1); });
+    const auto wire = s.discovery.wires[0];
+    const std::string behind = watch_head + chunk(s.list(9, true).dump() + "\n");
+    wire->say(watch_head + chunk(s.list(8, true).dump() + "\n") + last_chunk + behind);
+    s.until([&] { return !reports.failures.empty(); });
+    client.watch();
+    s.until([&] { return asked(s.discovery, 2); });
+    EXPECT_TRUE(has(s.discovery.wires[1]->in, "index=8 "));
+    wire->say(behind);
+    s.discovery.wires[1]->say(watch_head + chunk(s.list(10, true).dump() + "\n"));
+    s.until([&] { return reports.lists.size() >= 2; });
+    EXPECT_EQ(reports.versions(), (std::vector<std::uint64_t>{8, 10}));
+    EXPECT_EQ(reports.failures, std::vector{net::ListFailure::closed});
+}
+
+// ------------------------------------------------------------------------------------------------- clients
+
+// What is answered here, without an upstream, stands behind a request that waits for one: the answers go out
+// in the order of the requests.
+TEST(CrossedClients, WhatIsAnsweredHereDoesNotOvertakeAnAnswer) {
+    Stage s;
+    s.start();
+    const auto client = s.client();
+    const std::string unknown = "GET /nowhere HTTP/1.1\r\nHost: x\r\n\r\n";
+    client->say(look(5000, "first"));
+    const auto wire = s.request().first;
+    client->say(unknown + ready() + look(5000, "second"));
+    settle(s);
+    EXPECT_TRUE(client->in.empty());
+    wire->say(ok("to the first"));
+    EXPECT_TRUE(has(s.answer(*client), "to the first"));
+    EXPECT_EQ(status(s.answer(*client)), 404);
+    EXPECT_EQ(status(s.answer(*client)), 200);
+    const auto [next, request] = s.request();
+    EXPECT_TRUE(has(request, "second"));
+    next->say(ok("to the second"));
+    EXPECT_TRUE(has(s.answer(*client), "to the second"));
+}
+
+// Two clients name their requests alike, and are answered in the other order.
+TEST(CrossedClients, RequestsOfOneNameGetTheirOwnAnswers) {
+    Stage s;
+    s.start();
+    const auto first = s.client(), second = s.client();
+    first->say(look());
+    const auto to_first = s.request().first;
+    second->say(look());
+    const auto to_second = s.request().first;
+    to_second->say(ok("to the second"));
+    EXPECT_TRUE(has(s.answer(*second), "to the second"));
+    to_first->say(ok("to the first"));
+    EXPECT_TRUE(has(s.answer(*first), "to the first"));
+}
+
+// The first `length` bytes of a request stand behind another one that waits; the rest comes after its answer.
+void expect_taken_whole(const std::string& request, std::size_t length, const std::string& end) {
+    Stage s;
+    s.start();
+    const auto client = s.client();
+    client->say(look() + request.substr(0, length));
+    s.request().first->say(ok("to the first"));
+    EXPECT_TRUE(has(s.answer(*client), "to the first"));
+    settle(s);
+    EXPECT_TRUE(s.nothing_sent());
+    client->say(request.substr(length));
+    const auto [wire, forwarded] = s.request();
+    ASSERT_TRUE(wire);
+    EXPECT_TRUE(has(forwarded, "X-Call-Class: once\r\n")) << forwarded;
+    EXPECT_TRUE(forwarded.ends_with(end)) << forwarded;
+    wire->say(ok("to the second"));
+    EXPECT_TRUE(has(s.answer(*client), "to the second"));
+}
+
+TEST(CrossedClients, ARequestCutInItsHeadBehindAnotherIsTakenWhole) {
+    const std::string request = once(5000, "for the second");
+    expect_taken_whole(request, request.find("X-Call-Class"), "\r\n\r\nfor the second");
+}
+
+// A client sends a request, and half of a further one or all of it, and goes, before the answer to the first
+// or behind it: nothing of the further one reaches an upstream.
+TEST(CrossedClients, NothingIsSentOfWhatStandsBehindAClientThatGoes) {
+    struct Case {
+        bool whole, answered;
+    };
+    for (const auto& [whole, answered] : {Case{false, false}, Case{false, true}, Case{true, false}}) {
+        Stage s;
+        s.start();
+        const auto client = s.client();
+        const std::string next = once();
+        client->say(look() + next.substr(0, next.size() - (whole ? 0 : 2)));
+        const auto wire = s.request().first;
+        if (answered) {
+            wire->say(ok());
+            EXPECT_EQ(status(s.answer(*client)), 200);
+        }
+        settle(s);
+        client->close();
+        if (!answered) s.until([&] { return wire->ended; });
+        settle(s);
+        EXPECT_TRUE(s.nothing_sent()) << whole << answered;
+        EXPECT_EQ(s.connections(), 1U) << whole << answered;
+        s.host.reset();
+    }
+}
+
+}  // namespace
+}  // namespace flaxdoor::test
--- a/tests/discovery_peer.h
+++ b/tests/discovery_peer.h
@@ -9,6 +9,7 @@
 namespace flaxdoor::test {
 
 inline const std::string watch_head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+inline const std::string last_chunk = "0\r\n\r\n";
 
 inline std::string chunk(const std::string& text) {
     std::ostringstream size;
