--- a/tests/crossed_answers_test.cpp
+++ b/tests/crossed_answers_test.cpp
@@ -107,6 +107,46 @@
     }
 }
 
+// A second answer to the first one's request comes when the next one's is out, and before its own answer.
+void expect_not_crossed_by_a_late_second_answer(Pair askers) {
+    Connections c;
+    const auto wire = c.exchange(askers.first);
+    c.pass(longer_than_rest);
+    c.send(askers.next);
+    const auto next = c.stage.request().first;
+    wire->say(ok(other_report_body));
+    c.answer(*next, ok(report_body));
+    c.expect_answered(askers.next, report_body);
+}
+
+// What happens: a client gets the second answer to a probe as its own. Why: probes go over the connections of
+// clients' requests, and a second answer that comes later than the rest can't be told from the one waited
+// for.
+TEST(CrossedProbes, AProbesLateSecondAnswerIsNeverGivenToAClient) {
+    expect_not_crossed_by_a_late_second_answer({Asker::probe, Asker::client});
+}
+
+// What happens: a client's second answer counts as the upstream's load report. Why: the same.
+TEST(CrossedProbes, AClientsLateSecondAnswerIsNeverTakenForALoadReport) {
+    expect_not_crossed_by_a_late_second_answer({Asker::client, Asker::probe});
+}
+
+// What happens: a request goes to the address that its upstream has left. Why: what is out while the address
+// changes brings its connection back into the pool, from which only those at rest were taken.
+TEST(CrossedConnections, OneToAFormerAddressCarriesNoFurtherRequest) {
+    Connections c;
+    c.send(Asker::client);
+    const auto wire = c.stage.request().first;
+    c.upstreams.set_address(Connections::id, c.stage.upstreams[1]->address());
+    c.answer(*wire, ok("from the former"));
+    c.expect_answered(Asker::client, "from the former");
+    c.pass(longer_than_rest);
+    c.send(Asker::client);
+    const auto next = c.stage.request().first;
+    EXPECT_TRUE(next != wire);
+    EXPECT_EQ(c.stage.upstreams[1]->wires.size(), 1U);
+}
+
 // --------------------------------------------------------------------------------- refusals, before a host
 
 // A refusal on a connection that has carried another request may be a second answer to that one: a keyed
