Read from an upstream only in the turn in which it is handled

What callers saw: the answer to another client's request, where an upstream's second answer came right behind the first and the loop was held up for longer than a connection rests (model of a busy machine: 12 and 20 ms).

Cause: a kept connection has an asynchronous read under way. Started while bytes stand in the socket, it takes them out at once, and its handler waits for its turn. Till then buffer and socket look empty, the connection quiet, and it is used again with the second answer in hand. Found by two tests apart from each other, at sizes with which a read ends full.

Change: read_when_ready waits until something has come and reads it in the handler's own turn, so that what has come is either in the socket or handled. Costs no system call more: the read that found nothing becomes the call that waits.

--- a/src/net/http.h
+++ b/src/net/http.h
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <string>
 #include <string_view>
+#include <utility>
 
 namespace flaxdoor::net {
 
@@ -22,6 +23,7 @@
 
 inline constexpr std::uint32_t header_most = 16 * 1024;
 inline constexpr std::size_t body_most = 64 * 1024;
+inline constexpr std::size_t read_most = 8 * 1024;  // at once
 
 std::string to_bytes(HttpRequest& message);
 std::string to_bytes(HttpResponse& message);
@@ -41,6 +43,25 @@
 // The end of the connection, or its reset, has come: next, or behind bytes that are still unread.
 bool ended(tcp::socket& socket);
 
+// Reads once something has come, and hands the error of that to `handler` in the same turn of the loop. So
+// what has come stands in the socket or has been handled: an asynchronous read takes it out of the socket
+// turns before its handler runs, unseen by `quiet`, and leaves no way to consume from the buffer meanwhile.
+// The socket must not block; the handler keeps it and the buffer alive.
+template <typename Handler>
+void read_when_ready(tcp::socket& socket, beast::flat_buffer& buffer, Handler handler) {
+    socket.async_wait(tcp::socket::wait_read,
+                      [&socket, &buffer, handler = std::move(handler)](error_code error) mutable {
+                          std::size_t got = 0;
+                          if (!error) got = socket.read_some(buffer.prepare(read_most), error);
+                          if (error == asio::error::would_block) {
+                              read_when_ready(socket, buffer, std::move(handler));
+                              return;
+                          }
+                          buffer.commit(got);
+                          handler(error);
+                      });
+}
+
 // Writes what the socket takes at once. False when the connection is broken.
 bool write_some(tcp::socket& socket, const std::string& bytes, std::size_t& written);
 
--- a/src/net/upstreams.cpp
+++ b/src/net/upstreams.cpp
@@ -47,7 +47,7 @@
     return found == fields.size() ? report : Report{};
 }
 
-// One connection, which carries one exchange at a time. A read is always under way on it, so that its end is
+// One connection, which carries one exchange at a time. It always waits for what comes, so that its end is
 // noticed at once, also while it is kept.
 class Upstreams::Connection final : public PooledConnection, public std::enable_shared_from_this<Connection> {
 public:
@@ -189,12 +189,9 @@
     }
 
     void read() {
-        socket_.async_read_some(buffer_.prepare(8 * 1024),
-                                [self = shared_from_this()](error_code error, std::size_t got) {
-                                    if (self->closed_) return;
-                                    self->buffer_.commit(got);
-                                    self->take(error);
-                                });
+        read_when_ready(socket_, buffer_, [self = shared_from_this()](error_code error) {
+            if (!self->closed_) self->take(error);
+        });
     }
 
     // What was read behind the last answer begins a further one.
