Read from a client only in the turn in which it is handled

What callers saw: of two requests in one piece and a third, the second ran twice, also where it must run once only, and its answer was given for the third. A body cut behind a waiting request ended in older bytes. In a shutdown a request that had been read and not been handled was dropped with its connection.

Cause: an asynchronous read was under way while the buffer that it writes into was consumed: emptied, the buffer begins anew, and commit() counts old bytes as new ones. And a read that finds bytes at once takes them out of the socket turns before its handler runs, so that the connection looks idle.

--- a/src/net/clients.cpp
+++ b/src/net/clients.cpp
@@ -110,8 +110,8 @@
     return request;
 }
 
-// One client connection: reads a request, waits for its answer, writes it, and again. A read is always under
-// way, so that a client that goes while it waits is noticed at once.
+// One client connection: reads a request, waits for its answer, writes it, and again. What comes is always
+// waited for, so that a client that goes meanwhile is noticed at once.
 class Clients::Connection : public std::enable_shared_from_this<Connection> {
 public:
     enum class State { reading, waiting, writing, lingering };
@@ -189,19 +189,17 @@
     void read() {
         if (reading_) return;
         reading_ = true;
-        socket_.async_read_some(buffer_.prepare(8 * 1024),
-                                [self = shared_from_this()](error_code error, std::size_t got) {
-                                    self->reading_ = false;
-                                    if (self->closed_) return;
-                                    self->buffer_.commit(got);
-                                    if (error) {
-                                        self->gone();
-                                        return;
-                                    }
-                                    self->take();
-                                    self->bound();
-                                    if (!self->closed_) self->read();
-                                });
+        read_when_ready(socket_, buffer_, [self = shared_from_this()](error_code error) {
+            self->reading_ = false;
+            if (self->closed_) return;
+            if (error) {
+                self->gone();
+                return;
+            }
+            self->take();
+            self->bound();
+            if (!self->closed_) self->read();
+        });
     }
 
     // One request at a time: what a client sends beyond the one that waits is bounded. Past that it is
--- a/tests/crossed_answers_test.cpp
+++ b/tests/crossed_answers_test.cpp
@@ -2,7 +2,10 @@
 // and clients share, on those to discovery, and on those of clients.
 #include <gtest/gtest.h>
 
+#include <thread>
+
 #include "discovery_peer.h"
+#include "net/http.h"
 #include "peers.h"
 #include "slow_upstream.h"
 
@@ -322,6 +325,32 @@
     expect_served("new");
 }
 
+// A request for this host itself, of so many bytes.
+std::string ready_of_size(std::size_t bytes) {
+    const std::string head = "GET /ready HTTP/1.1\r\nHost: x\r\nX-Filler: ", end = "\r\n\r\n";
+    return head + std::string(bytes - head.size() - end.size(), 'x') + end;
+}
+
+// Guards against a connection that is taken for idle, and closed in a shutdown, while a request on it has
+// been read and not been handled. The loop is held up, so that the shutdown's look and the client's bytes
+// come in one turn; the first request ends with what is read at once.
+TEST(CrossedClients, ARequestBehindOneThatFillsAReadIsAnsweredInAShutdown) {
+    constexpr auto past_first_look = std::chrono::milliseconds(600);
+    Stage s(1);
+    s.start();
+    const auto client = s.client();
+    client->say(ready());
+    EXPECT_EQ(status(s.answer(*client)), 200);
+    s.host->drain();
+    client->say(ready_of_size(net::read_most) + look());
+    std::this_thread::sleep_for(past_first_look);
+    EXPECT_EQ(status(s.answer(*client)), 200);
+    const auto wire = s.request().first;
+    ASSERT_TRUE(wire);
+    wire->say(ok("to the request behind"));
+    EXPECT_TRUE(has(s.answer(*client), "to the request behind"));
+}
+
 // A client sends a request, and half of a further one or all of it, and goes, before the answer to the first
 // or behind it: nothing of the further one reaches an upstream.
 TEST(CrossedClients, NothingIsSentOfWhatStandsBehindAClientThatGoes) {
