Keep no connection that leads to an address its upstream has left

What callers saw: a request that goes to the former address of its upstream after a list gave a new one.

Cause: set_address closes the connections that are kept; one that carries a request just then is kept once it is answered, and used for the next. Change: an answered connection is kept only if it leads to the current address.

Looked for elsewhere: discovery's move drops what is under way; a connection that comes up late belongs to its attempt, which ends there.

--- a/src/net/upstreams.cpp
+++ b/src/net/upstreams.cpp
@@ -61,6 +61,7 @@
 
     void connect(const tcp::endpoint& address, AttemptKey attempt, HttpRequest request, Time expires,
                  Time send_by) {
+        address_ = address;
         begin(attempt, std::move(request), expires, send_by);
         error_code error;
         socket_.open(address.protocol(), error);
@@ -249,6 +250,7 @@
         if (refused ? buffer_.size() > 0 : !whole()) return unreadable();
         // An answer to a request that is not whole yet leaves the framing in doubt.
         const bool reusable = !ended && whole() && answer.keep_alive() && buffer_.size() == 0 &&
+                              address_ == owner_.addresses_.at(upstream_) &&
                               owner_.pool_.keeps(upstream_, now);
         const bool doubtful = refused && reused_ && whole();
         const auto self = shared_from_this();
@@ -279,6 +281,7 @@
 
     Upstreams& owner_;
     const UpstreamId upstream_;
+    tcp::endpoint address_;
     tcp::socket socket_;
     asio::steady_timer timer_;
     beast::flat_buffer buffer_;
