Give each probe a connection of its own

What callers saw: a client could get the body of a probe's second answer, and a balancer take a client's second answer for an upstream's load report, where it came later than a connection rests.

Cause: probes went over the connections of clients' requests, and answers name no request. Unlike two requests of clients this can be ruled out at the price of a handshake for each probe, of which there are few.

--- a/src/net/upstreams.cpp
+++ b/src/net/upstreams.cpp
@@ -14,6 +14,8 @@
 constexpr RequestId probe_request = 0;  // under which probes go: clients' requests count from 1
 constexpr double idle_share = 0.9;  // of the told idle limit, after which a kept connection is closed here
 
+bool is_probe(AttemptKey attempt) { return attempt.request == probe_request; }
+
 Outcome outcome_of(const HttpResponse& answer) {
     if (answer.result() == http::status::ok) return Outcome::ok;
     const bool turns_away = answer.result() == http::status::service_unavailable ||
@@ -138,7 +140,7 @@
 
     // Not before the connection is up: the request tells how long it will be waited for from now on.
     void serialize() {
-        if (attempt_->request != probe_request) {
+        if (!is_probe(*attempt_)) {
             const auto left =
                 std::chrono::duration_cast<std::chrono::milliseconds>(expires_ - owner_.clock_.now());
             request_.set("X-Budget-Ms", std::to_string(std::max<std::int64_t>(1, left.count())));
@@ -251,13 +253,12 @@
         // An answer to a request that is not whole yet leaves the framing in doubt.
         const bool reusable = !ended && whole() && answer.keep_alive() && buffer_.size() == 0 &&
                               address_ == owner_.addresses_.at(upstream_) &&
-                              owner_.pool_.keeps(upstream_, now);
+                              owner_.pool_.keeps(upstream_, now) && !is_probe(*attempt_);
         const bool doubtful = refused && reused_ && whole();
         const auto self = shared_from_this();
         const AttemptKey attempt = *attempt_;
         const Time sent_at = since_;
-        const bool of_client = attempt.request != probe_request;
-        if (refused && of_client) owner_.refusals_.count(upstream_, expires_ - now);
+        if (refused && !is_probe(attempt)) owner_.refusals_.count(upstream_, expires_ - now);
         attempt_.reset();
         owner_.attempts_.erase(attempt);
         if (reusable) {
@@ -328,9 +329,11 @@
         report(attempt, upstream, Outcome::moot, now);
         return;
     }
-    if (const auto kept = std::static_pointer_cast<Connection>(pool_.take(upstream, now))) {
-        attempts_.emplace(attempt, kept);
-        kept->reuse(attempt, std::move(request), expires, send_by);
+    // A probe has a connection of its own: no late answer to it may reach a client, nor the other way round.
+    const auto kept = is_probe(attempt) ? nullptr : pool_.take(upstream, now);
+    if (const auto connection = std::static_pointer_cast<Connection>(kept)) {
+        attempts_.emplace(attempt, connection);
+        connection->reuse(attempt, std::move(request), expires, send_by);
     } else if (pool_.acquire_slot()) {
         const auto opened = std::make_shared<Connection>(*this, upstream);
         attempts_.emplace(attempt, opened);
@@ -368,7 +371,7 @@
 void Upstreams::report(AttemptKey attempt, UpstreamId upstream, Outcome outcome, Time sent_at,
                        HttpResponse answer, bool doubtful) {
     const Micros latency = clock_.now() - sent_at;
-    if (attempt.request == probe_request) {
+    if (is_probe(attempt)) {
         // The body of a probe's answer is the load report, where there is one.
         events_.on_probe_result({upstream, outcome, latency, parse_report(answer.body(), report_fields_)});
         return;
