Log how late second answers come

How long a connection must rest before its next request depends on how late an upstream may answer a request twice, which no page says. The log told how many came; it tells now at which lateness, in classes up to 100 ms, and the latest, also in two seconds in which no attempt ended. The pool alone sees them: on kept connections, and behind an answer (at once). After a connection was used again, or closed, none can be seen.

--- a/src/net/connection_pool.cpp
+++ b/src/net/connection_pool.cpp
@@ -19,19 +19,23 @@
 }
 
 bool ConnectionPool::acquire_slot() {
-    if (open_ >= limits_.connections) {
-        const Kept* oldest = nullptr;
-        for (const auto& [upstream, pool] : pools_) {
-            if (pool.kept.empty()) continue;
-            if (!oldest || pool.kept.front().since < oldest->since) oldest = &pool.kept.front();
-        }
-        if (!oldest) return false;
-        discard(oldest->connection);
-    }
+    if (open_ >= limits_.connections && !close_oldest()) return false;
     ++open_;
     return true;
 }
 
+bool ConnectionPool::close_oldest() {
+    UpstreamPool* oldest = nullptr;
+    for (auto& [upstream, pool] : pools_) {
+        if (pool.kept.empty()) continue;
+        if (!oldest || pool.kept.front().since < oldest->kept.front().since) oldest = &pool;
+    }
+    if (!oldest) return false;
+    oldest->kept.front().connection->close();
+    oldest->kept.erase(oldest->kept.begin());
+    return true;
+}
+
 // Guards against a kept connection that has ended unnoticed so far: what is written to it would be a reset,
 // and may have run.
 ConnectionPool::ConnectionPtr ConnectionPool::take(UpstreamId upstream, Time now) {
@@ -41,13 +45,11 @@
             pool.kept, [&](const Kept& kept) { return reuse_of(pool, kept, now) != Reuse::ready; });
         if (at == pool.kept.begin()) return nullptr;
         --at;  // the one used last of those that are ready
-        const ConnectionPtr connection = std::move(at->connection);
+        const Kept kept = std::move(*at);
         pool.kept.erase(at);
-        if (connection->is_quiet()) return connection;
+        if (kept.connection->is_quiet()) return kept.connection;
         ++figures_.stale;
-        const bool second_answer = connection->has_second_answer();
-        connection->close();
-        if (second_answer) on_second_answer(upstream, now);
+        close(kept, now);
     }
 }
 
@@ -61,10 +63,21 @@
     pools_[upstream].kept.push_back({std::move(connection), now});
 }
 
-void ConnectionPool::discard(const ConnectionPtr& connection) {
-    const ConnectionPtr held = connection;
-    std::erase_if(pools_[held->upstream()].kept, [&](const Kept& kept) { return kept.connection == held; });
-    held->close();
+void ConnectionPool::discard(const ConnectionPtr& connection, Time now) {
+    auto& kept = pools_[connection->upstream()].kept;
+    const auto found = std::ranges::find(kept, connection, &Kept::connection);
+    if (found == kept.end()) return;
+    const Kept taken = std::move(*found);
+    kept.erase(found);
+    close(taken, now);
+}
+
+// Guards against a second answer that comes after a connection has rested: one that comes sooner tells that
+// its upstream answers twice.
+void ConnectionPool::close(const Kept& kept, Time now) {
+    const bool second_answer = kept.connection->has_second_answer();
+    kept.connection->close();
+    if (second_answer) on_second_answer(kept.connection->upstream(), now, now - kept.since);
 }
 
 void ConnectionPool::close_kept(UpstreamId upstream) {
@@ -78,10 +91,9 @@
     for (const auto& [upstream, pool] : pools_) close_kept(upstream);
 }
 
-// Guards against a second answer that comes after a connection has rested. An upstream that has answered
-// twice may do so again.
-void ConnectionPool::on_second_answer(UpstreamId upstream, Time now) {
-    ++figures_.second_answers;
+// An upstream that has answered twice may do so again, and later.
+void ConnectionPool::on_second_answer(UpstreamId upstream, Time now, Micros late_by) {
+    figures_.second_answers.count(late_by);
     pools_[upstream].single_use_until = now + limits_.single_use;
     close_kept(upstream);
 }
--- a/src/net/connection_pool.h
+++ b/src/net/connection_pool.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "flaxdoor/decide.h"
+#include "net/second_answer_tally.h"
 
 namespace flaxdoor::net {
 
@@ -54,21 +55,21 @@
     // Whether a connection to the upstream may be kept once it has been answered.
     bool keeps(UpstreamId upstream, Time now) const;
     void keep(ConnectionPtr connection, Time now);
-    // Closes a connection that is kept, or was.
-    void discard(const ConnectionPtr& connection);
+    // Something has come on a kept connection, or its time is over: closes it.
+    void discard(const ConnectionPtr& connection, Time now);
     void close_kept(UpstreamId upstream);
     void close_all();
 
-    // The upstream has answered a request twice.
-    void on_second_answer(UpstreamId upstream, Time now);
+    // The upstream has answered a request twice, `late_by` after the first answer was read.
+    void on_second_answer(UpstreamId upstream, Time now, Micros late_by);
 
     std::size_t open() const { return open_; }
     std::size_t kept(UpstreamId upstream) const;
 
-    // Of kept connections found ended or spoken on as they were to be used, and of second answers, since the
-    // last call.
+    // What the log says, since the last call.
     struct Figures {
-        unsigned stale = 0, second_answers = 0;
+        unsigned stale = 0;  // kept connections found ended, or spoken on, as they were to be used
+        SecondAnswerTally second_answers;
     };
     Figures take_figures();
 
@@ -82,6 +83,8 @@
         Time single_use_until{};
     };
 
+    bool close_oldest();
+    void close(const Kept& kept, Time now);
     static Reuse reuse_of(const UpstreamPool& pool, const Kept& kept, Time now);
 
     const ConnectionPoolLimits limits_;
--- a/src/net/upstreams.cpp
+++ b/src/net/upstreams.cpp
@@ -169,7 +169,7 @@
     // A request of which the last byte was never handed over has not run, whatever ended it.
     void time_up() {
         if (!attempt_) {
-            owner_.pool_.discard(shared_from_this());
+            owner_.pool_.discard(shared_from_this(), owner_.clock_.now());
         } else if (whole()) {
             end(Outcome::timeout);
         } else if (owner_.clock_.now() >= send_by_) {
@@ -205,9 +205,7 @@
 
     void take(error_code ended) {
         if (!attempt_) {  // kept: whatever comes now, its end or bytes that nobody asked for, it is done
-            const auto self = shared_from_this();
-            owner_.pool_.discard(self);
-            if (read_second_answer()) owner_.pool_.on_second_answer(upstream_, owner_.clock_.now());
+            owner_.pool_.discard(shared_from_this(), owner_.clock_.now());
             return;
         }
         error_code error;
@@ -246,7 +244,7 @@
         const Outcome outcome = outcome_of(answer);
         const bool refused = outcome == Outcome::full;
         const Time now = owner_.clock_.now();
-        if (read_second_answer()) owner_.pool_.on_second_answer(upstream_, now);
+        if (read_second_answer()) owner_.pool_.on_second_answer(upstream_, now, Micros{0});
         // Before the request is whole there is nothing to answer but that it will not be taken, and behind a
         // refusal comes nothing.
         if (refused ? buffer_.size() > 0 : !whole()) return unreadable();
@@ -390,20 +388,21 @@
 
 std::string Upstreams::figures() {
     const Figures f = std::exchange(figures_, {});
-    const ConnectionPool::Figures pool = pool_.take_figures();
-    if (f.sent == 0) return {};
+    ConnectionPool::Figures pool = pool_.take_figures();
+    const std::string second_answers = pool.second_answers.take_text();
+    if (f.sent == 0 && second_answers.empty()) return {};
     char line[320];
     std::snprintf(line, sizeof line,
                   "attempts %u: unreadable %u, reset %u, timeout %u, moot %u, withdrawn %u; connections %zu "
                   "open, %u made "
                   "(slowest %.1f ms), "
-                  "%u refused, %u too slow, %u broke unwritten, %u found ended, %u answered twice",
+                  "%u refused, %u too slow, %u broke unwritten, %u found ended",
                   f.sent, f.unreadable, f.reset, f.timeout, f.moot, f.withdrawn, pool_.open(), f.made,
-                  static_cast<double>(f.slowest.count()) / 1e3, f.refused, f.slow, f.unwritten, pool.stale,
-                  pool.second_answers);
+                  static_cast<double>(f.slowest.count()) / 1e3, f.refused, f.slow, f.unwritten, pool.stale);
     std::string text = line;
-    if (const std::string refusals = refusals_.take_text(); !refusals.empty())
-        text.append("; ").append(refusals);
+    for (const std::string& tally : {second_answers, refusals_.take_text()}) {
+        if (!tally.empty()) text.append("; ").append(tally);
+    }
     return text;
 }
 
