Count calls to discovery by what they carry, and share what tests of its client need

No check changes its bound. Two tests took each connection to discovery for a call; they now take those that carry anything for calls, by calls_at(): ASilentWatchIsBegunAnewBeforeItsNewsCountAsTold and CallsThatFailedDoNotDelayTheNextBeyondWhatCountsAsTold. What they ask stays: the next call, with its request, within 6 s, and the first one ended by then. A client that opens a second connection to see whether discovery's machine can be reached makes no call by that.

watch_head, chunk, refused, Reports and asked() move to discovery_peers.h unchanged, for a second file of tests.

--- a/tests/discovery_test.cpp
+++ b/tests/discovery_test.cpp
@@ -3,7 +3,7 @@
 
 #include <gtest/gtest.h>
 
-#include "peers.h"
+#include "discovery_peers.h"
 
 namespace flaxdoor::test {
 
@@ -17,14 +17,6 @@
     EXPECT_TRUE(has(s.discovery.wires[0]->in, "GET /v1/endpoints?stream=1&index=7 HTTP/1.1\r\n"));
 }
 
-std::string chunk(const std::string& text) {
-    std::ostringstream size;
-    size << std::hex << text.size();
-    return size.str() + "\r\n" + text + "\r\n";
-}
-
-const char* const watch_head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
-
 // Whatever way a watch ends, the next one resumes after the last version heard.
 // Guards against a log filled by a discovery that is down for long.
 TEST(Discovery, AFailureIsLoggedOnceUntilItAnswersAgain) {
@@ -94,16 +86,16 @@
         s.config["settings"]["registry_mode"] = mode;
         s.config["settings"]["invariants"]["ask_within"] = 10000.0;
         s.start();
-        auto& calls = s.discovery.wires;
-        s.until([&] { return !calls.empty() && has(calls[0]->in, "\r\n\r\n"); });
-        if (spoke) calls[0]->say(watch_head + chunk(s.list(9, false).dump() + "\n"));
+        const auto calls = [&] { return calls_at(s.discovery); };
+        s.until([&] { return asked(s.discovery, 1); });
+        if (spoke) calls()[0]->say(watch_head + chunk(s.list(9, false).dump() + "\n"));
         asio::steady_timer told(s.loop, std::chrono::seconds(6));
         bool late = false;
         told.async_wait([&](auto) { late = true; });
-        s.until([&] { return late || (calls.size() >= 2 && has(calls[1]->in, "\r\n\r\n")); });
+        s.until([&] { return late || (calls().size() >= 2 && has(calls()[1]->in, "\r\n\r\n")); });
         EXPECT_FALSE(late) << mode << spoke;
-        EXPECT_TRUE(calls[0]->ended) << mode << spoke;
-        EXPECT_TRUE(has(calls.back()->in, spoke ? "index=9 " : "index=7 ")) << mode;
+        EXPECT_TRUE(calls()[0]->ended) << mode << spoke;
+        EXPECT_TRUE(has(calls().back()->in, spoke ? "index=9 " : "index=7 ")) << mode;
         s.host.reset();
     }
 }
@@ -141,14 +133,16 @@
     Stage s;
     s.config["settings"]["invariants"]["ask_within"] = 10000.0;
     s.start();
-    auto& calls = s.discovery.wires;
-    const auto called = [&](std::size_t n) { return calls.size() >= n && has(calls[n - 1]->in, "\r\n\r\n"); };
+    const auto calls = [&] { return calls_at(s.discovery); };
+    const auto called = [&](std::size_t n) {
+        return calls().size() >= n && has(calls()[n - 1]->in, "\r\n\r\n");
+    };
     for (std::size_t n = 1; n <= 3; ++n) {
         s.until([&] { return called(n); });
         if (n == 2) {
-            calls[n - 1]->reset();
+            calls()[n - 1]->reset();
         } else {
-            calls[n - 1]->say("HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n");
+            calls()[n - 1]->say("HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n");
         }
     }
     s.until([&] { return called(4); });  // it is not answered
@@ -243,22 +237,6 @@
 
 // ------------------------------------------------------------------------------- the client without its host
 
-// What the client reports, in order.
-class Reports final : public net::DiscoveryEvents {
-public:
-    void on_list(net::List list) override { lists.push_back(std::move(list)); }
-    void on_list_failed(net::ListFailure failure) override { failures.push_back(failure); }
-
-    std::vector<net::List> lists;
-    std::vector<net::ListFailure> failures;
-};
-
-const char* const refused = "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n";
-
-bool asked(const Listener& discovery, std::size_t n) {
-    return discovery.wires.size() >= n && has(discovery.wires[n - 1]->in, "\r\n\r\n");
-}
-
 // Nobody listens, or the queue of connections is full, so that one never comes up.
 TEST(DiscoveryClient, ACallWithoutAConnectionIsUnreachable) {
     for (const bool silent : {false, true}) {
