Keep a call to discovery out while a second connection comes up, and give it up when none does

What callers saw: a call that waits in turn for 4 s was given up at 3 s and joined the end of the queue, again and again (DiscoveryClient.ACallMayWaitForLongerThanAWatchMayBeSilent, listed as known).

Cause: watch_silence, which bounds a watch that has fallen silent, bounded a call that has heard nothing yet too (DiscoveryCall::await_news). It guarded a balancer that is cut off in the middle of a call.

Mend: 1.25 s after its start such a call opens a second connection and closes it without a byte. Where that is refused or not up after 1.75 s the call is given up, at 3 s as before, and reported as before; the log says "cut off". Where it comes up the call stays out until 4.25 s. Calls for pushed lists are not checked, as the policy uses those for as long as it has no newer ones. A watch that has spoken ends after 3 s as before. The policy is not changed.

Not reached: an answer after 9 s.

--- a/include/flaxdoor/decide.h
+++ b/include/flaxdoor/decide.h
@@ -137,7 +137,7 @@
 //   failed       the call was refused or broke off, or the subscription was reset
 //   closed       discovery has closed the subscription in order, so that it was up
 //   unreachable  no connection to discovery came up
-//   silent       the subscription, or the call for it, has said nothing for `watch_silence`
+//   silent       the subscription has said nothing for `watch_silence`, or the call for it for too long
 //   moved        discovery is at another address from now on
 enum class ListKind { delta, full, cached, failed, closed, unreachable, silent, moved };
 
--- a/src/net/call_failures.cpp
+++ b/src/net/call_failures.cpp
@@ -20,6 +20,7 @@
         case CallError::no_connection: return "no connection";
         case CallError::connect_timeout: return "no connection in time";
         case CallError::silence: return "silence";
+        case CallError::cut_off: return "cut off";
         case CallError::turned_away: return "turned away";
         case CallError::unanswered: return "ended unanswered";
         case CallError::ended: return "ended";
--- a/src/net/call_failures.h
+++ b/src/net/call_failures.h
@@ -18,6 +18,7 @@
     no_connection,     // refused, or another error while connecting
     connect_timeout,   // the connection did not come up in time
     silence,           // nothing came for too long on a connection that stood
+    cut_off,           // nothing came on it, and no second connection came up
     turned_away,       // answered, with another status than 200
     unanswered,        // ended or was reset before a word of an answer
     ended,             // closed in order after that
--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -14,6 +14,7 @@
     switch (error) {
         case CallError::no_connection:
         case CallError::connect_timeout: return ListFailure::unreachable;
+        case CallError::cut_off:
         case CallError::silence: return watching ? ListFailure::silent : ListFailure::failed;
         case CallError::ended: return watching ? ListFailure::closed : ListFailure::failed;
         default: return ListFailure::failed;
@@ -22,8 +23,9 @@
 
 }  // namespace
 
-Discovery::Discovery(asio::io_context& loop, tcp::endpoint address, ListNames names, DiscoveryEvents& events)
-    : loop_(loop), address_(std::move(address)), names_(std::move(names)), events_(events) {}
+Discovery::Discovery(asio::io_context& loop, tcp::endpoint address, ListNames names, DiscoveryEvents& events,
+                     int checks)
+    : loop_(loop), address_(std::move(address)), names_(std::move(names)), events_(events), checks_(checks) {}
 
 Discovery::~Discovery() { stop(); }
 
@@ -48,7 +50,7 @@
 
 std::shared_ptr<DiscoveryCall> Discovery::start_call(DiscoveryCall::Kind kind, const std::string& target) {
     DiscoveryCallEvents& events = *this;
-    auto call = std::make_shared<DiscoveryCall>(loop_, kind, target, events);
+    auto call = std::make_shared<DiscoveryCall>(loop_, kind, target, checks_, events);
     call->start(address_);
     return call;
 }
--- a/src/net/discovery.h
+++ b/src/net/discovery.h
@@ -21,7 +21,7 @@
     failed,       // turned away, reset, or not understood
     closed,       // the watch was closed in order, by a discovery that was up
     unreachable,  // no connection came up
-    silent,       // the connection stood, and the watch said nothing for `watch_silence`
+    silent,       // the connection stood, and the watch, or the call for it, said nothing for too long
 };
 
 class DiscoveryEvents {
@@ -33,8 +33,10 @@
 
 class Discovery final : private DiscoveryCallEvents {
 public:
+    // `checks`: so many of a call, at most. With none, a call that waits for its turn is given up as early as
+    // a watch that has fallen silent.
     Discovery(boost::asio::io_context& loop, boost::asio::ip::tcp::endpoint address, ListNames names,
-              DiscoveryEvents& events);
+              DiscoveryEvents& events, int checks = checks_most);
     ~Discovery() override;
 
     void start_from(std::uint64_t version) { version_ = version; }
@@ -62,6 +64,7 @@
     boost::asio::ip::tcp::endpoint address_;
     const ListNames names_;
     DiscoveryEvents& events_;
+    const int checks_;
     std::uint64_t version_ = 0;
     std::unordered_map<UpstreamId, Time> leaving_;  // those listed as draining, and when they were started
     CallFailures failures_;                         // since the last answer
--- a/src/net/discovery_call.cpp
+++ b/src/net/discovery_call.cpp
@@ -1,8 +1,8 @@
 #include "net/discovery_call.h"
 
-#include <utility>
+#include <poll.h>
 
-#include "flaxdoor/decide.h"
+#include <utility>
 
 namespace flaxdoor::net {
 
@@ -32,17 +32,30 @@
     return nesting;
 }
 
+// Whether the connection has come up or failed, though the loop has not yet told so.
+bool has_outcome(tcp::socket& connecting) {
+    pollfd outcome{connecting.native_handle(), POLLOUT, 0};
+    return ::poll(&outcome, 1, 0) > 0;
+}
+
 }  // namespace
 
-DiscoveryCall::DiscoveryCall(asio::io_context& loop, Kind kind, std::string target,
+DiscoveryCall::DiscoveryCall(asio::io_context& loop, Kind kind, std::string target, int checks,
                              DiscoveryCallEvents& events)
-    : kind_(kind), target_(std::move(target)), events_(events), socket_(loop), silence_(loop) {
+    : kind_(kind),
+      target_(std::move(target)),
+      events_(events),
+      socket_(loop),
+      check_(loop),
+      checks_left_(checks),
+      timer_(loop) {
     parser_.header_limit(header_most);
     parser_.body_limit(boost::none);  // a watch never ends; its lines are bounded
     parser_.eager(true);
 }
 
 void DiscoveryCall::start(const tcp::endpoint& address) {
+    address_ = address;
     await_news();
     socket_.async_connect(address, [self = shared_from_this()](error_code error) {
         if (self->over_) return;
@@ -53,9 +66,10 @@
 
 void DiscoveryCall::drop() {
     over_ = true;
-    silence_.cancel();
+    timer_.cancel();
     error_code ignored;
     socket_.close(ignored);
+    check_.close(ignored);
 }
 
 void DiscoveryCall::fail(CallError error, const std::string& detail) {
@@ -70,16 +84,68 @@
 }
 
 void DiscoveryCall::await_news() {
-    last_word_ = std::chrono::steady_clock::now();
-    silence_.expires_at(last_word_ + watch_silence);
-    silence_.async_wait([self = shared_from_this()](error_code error) {
-        if (error || self->over_ || self->silence_.expiry() > std::chrono::steady_clock::now()) return;
+    error_code ignored;
+    check_.close(ignored);
+    last_word_ = there_at_ = std::chrono::steady_clock::now();
+    await_check_or_end();
+}
+
+void DiscoveryCall::await_check_or_end() {
+    if (may_check()) {
+        set_timer(there_at_ + check_gap, &DiscoveryCall::begin_check);
+    } else {
+        set_timer(there_at_ + watch_silence, &DiscoveryCall::give_up);
+    }
+}
+
+void DiscoveryCall::set_timer(TimePoint due, void (DiscoveryCall::*on_due)()) {
+    timer_.expires_at(due);
+    timer_.async_wait([self = shared_from_this(), on_due](error_code error) {
+        if (error || self->over_ || self->timer_.expiry() > std::chrono::steady_clock::now()) return;
         // Guards against a loop that is behind: what has come in meanwhile is about to be read.
         if (self->connected_ && !quiet(self->socket_)) return;
-        self->fail(self->connected_ ? CallError::silence : CallError::connect_timeout);
+        (*self.*on_due)();
     });
 }
 
+void DiscoveryCall::give_up() { fail(connected_ ? CallError::silence : CallError::connect_timeout); }
+
+// ------------------------------------------------------------------------------------------------- checks
+
+// A watch that has spoken says something every 2 s, as long as it stands.
+bool DiscoveryCall::may_check() const { return connected_ && !parser_.got_some() && checks_left_ > 0; }
+
+void DiscoveryCall::begin_check() {
+    --checks_left_;
+    there_at_ += check_gap;
+    const auto end = std::chrono::steady_clock::now() + check_time;
+    error_code error;
+    check_.open(address_.protocol(), error);
+    // No descriptor is left, which says nothing of discovery.
+    if (error) return set_timer(end, &DiscoveryCall::give_up);
+    check_.async_connect(address_, [self = shared_from_this()](error_code failed) {
+        if (!self->over_ && self->check_.is_open()) self->end_check(failed);
+    });
+    set_timer(end, &DiscoveryCall::give_up_check);
+}
+
+void DiscoveryCall::end_check(error_code error) {
+    error_code ignored;
+    check_.close(ignored);
+    if (!error) return await_check_or_end();
+    // The answer has come meanwhile, or the end of the call.
+    if (!quiet(socket_)) return;
+    fail(CallError::cut_off, error.message());
+}
+
+void DiscoveryCall::give_up_check() {
+    // Guards against a loop that is behind: `end_check` is next.
+    if (has_outcome(check_)) return;
+    fail(CallError::cut_off);
+}
+
+// ------------------------------------------------------------------------------------ question and answer
+
 void DiscoveryCall::ask() {
     error_code ignored;
     socket_.set_option(tcp::no_delay(true), ignored);
@@ -90,6 +156,7 @@
         if (error) self->fail(CallError::broken);
     });
     connected_ = true;
+    await_check_or_end();
     read();
 }
 
--- a/src/net/host.cpp
+++ b/src/net/host.cpp
@@ -38,6 +38,10 @@
     return std::max<std::size_t>(sockets, spare_sockets + 4) - spare_sockets;
 }
 
+// The agent that pushes lists answers at once: a call to it that hears nothing is made anew early, as the
+// policy uses a pushed list for as long as it has no newer one.
+int checks_of(const Settings& settings) { return settings.must_ask_list ? checks_most : 0; }
+
 HttpResponse refusal(Micros retry_after) {
     HttpResponse response(http::status::service_unavailable, 11);
     if (retry_after > Micros{0}) {
@@ -69,7 +73,7 @@
       upstreams_(loop, clock_,
                  {config_.settings.connect_timeout, config_.settings.idle_close, sockets_of(config_) / 2},
                  config_.report_fields, *this),
-      discovery_(loop, config_.discovery, config_.names, *this),
+      discovery_(loop, config_.discovery, config_.names, *this, checks_of(config_.settings)),
       timer_(loop),
       rewatch_(loop),
       drain_(loop),
