Take the middle of a balancer's place for its calls, so that a small fleet doesn't meet itself in each round

Cause: on_end drew a random part of one place with each call. At 20 s a round one call of 12 takes 1.67 s of the 2 s that it may wait, and neighbours came closer than that in each round.

Change: (rank + 0.5) / balancers in place of (rank + random) / balancers.

--- a/src/policy/list_subscription.cpp
+++ b/src/policy/list_subscription.cpp
@@ -88,7 +88,7 @@
 // A discovery that dies resets the subscription, and one that is cut off lets no new connection come up.
 void ListSubscription::on_end(Time now, ListKind kind) {
     const bool was_subscribed = std::exchange(subscribed_, false);
-    slot_ = (settings_.rank + random_.unit()) / settings_.balancers;  // one after another
+    slot_ = (settings_.rank + 0.5) / settings_.balancers;  // the fleet calls one after another, evenly
     if (kind == ListKind::moved) {
         up_when_lost_ |= was_subscribed;
         lose(now, now + told_after_move, now + told_after_move);
--- a/tests/fleet_rounds_test.cpp
+++ b/tests/fleet_rounds_test.cpp
@@ -48,9 +48,10 @@
     watches_fall_silent();
 }
 
-// Of 350 instances one grace: slow to run.
+// Of 350 instances one grace: slow to run. Of 12 several seeds: there a call takes nearly as long as it may
+// wait.
 std::vector<Case> round_cases() {
-    constexpr std::uint64_t seeds_of_few = 1;
+    constexpr std::uint64_t seeds_of_few = 5;
     std::vector<Case> all;
     for (const Micros serve_all : {seconds(3), seconds(8), seconds(13), seconds(20)}) {
         for (const Micros drain_grace : {milliseconds(500), milliseconds(2000)}) {
