--- a/src/net/discovery_call.cpp
+++ b/src/net/discovery_call.cpp
@@ -11,7 +11,6 @@
 // Against a line that never ends. Memory is taken as it comes: an upstream takes 150 bytes, indented twice
 // that.
 constexpr std::size_t line_most = 2 * 1024 * 1024;
-constexpr std::size_t read_size = 16 * 1024;
 
 bool blank(std::string_view text) { return text.find_first_not_of(" \t\r\n") == std::string_view::npos; }
 
@@ -149,6 +148,7 @@
 void DiscoveryCall::ask() {
     error_code ignored;
     socket_.set_option(tcp::no_delay(true), ignored);
+    socket_.non_blocking(true, ignored);
     HttpRequest request(http::verb::get, target_, 11);
     request.set(http::field::host, "discovery");
     out_ = to_bytes(request);
@@ -161,12 +161,9 @@
 }
 
 void DiscoveryCall::read() {
-    socket_.async_read_some(buffer_.prepare(read_size),
-                            [self = shared_from_this()](error_code error, std::size_t got) {
-                                if (self->over_) return;
-                                self->buffer_.commit(got);
-                                self->take(error);
-                            });
+    read_when_ready(socket_, buffer_, [self = shared_from_this()](error_code error) {
+        if (!self->over_) self->take(error);
+    });
 }
 
 void DiscoveryCall::take(error_code ended) {
