Make no call while one is out, so that what it proves counts from its own beginning

What callers saw: nothing yet; a breach of the rule on drains in waiting. A call may now stay out for 4.25 s, and where `ask_within` is shorter the policy counted a second call as begun, which the host did not make as one was out. When the first one failed, the list was used for 6 s from that second beginning.

Change: the next call is due no sooner than after 6 s unless this one ends, which the host always tells.

--- a/src/policy/list_subscription.cpp
+++ b/src/policy/list_subscription.cpp
@@ -72,7 +72,7 @@
 bool ListSubscription::call_due(Time now) {
     if (subscribed_) return false;
     called_at_ = now;
-    next_call_ = now + settings_.ask_within;  // should no answer come at all
+    next_call_ = now + std::max(settings_.ask_within, told_at_most);  // this one has ended by then
     return true;
 }
 
--- a/tests/list_subscription_test.cpp
+++ b/tests/list_subscription_test.cpp
@@ -79,6 +79,29 @@
     }
 }
 
+// Guards against a list that is used for too long on the word of a call that hung: what it proves counts from
+// its own beginning, also where it was out for longer than `ask_within`, and no other is made meanwhile.
+TEST(TheList, ACallThatIsOutForLongProvesNothingBeyondItsBeginning) {
+    const Micros call_limit = ms(4250);  // of the host
+    Settings s = plain_settings();
+    s.must_ask_list = true;
+    s.ask_within = std::chrono::seconds(2);
+    s.drain_grace = ms(500);
+    Rig rig(s);
+    rig.list(ListKind::cached, {Rig::entry(1)});
+    rig.run(rig.now + s.ask_within);
+    rig.list(ListKind::full, {Rig::entry(1)});
+    const int before = rig.sink.watches;
+    rig.list(ListKind::failed, {});
+    while (rig.sink.watches == before) rig.run(rig.now + ms(5));
+    const Time called = rig.now;
+    rig.run(called + call_limit);
+    EXPECT_EQ(rig.sink.watches, before + 1);
+    rig.list(ListKind::silent, {});
+    rig.run(called + std::chrono::seconds(6) + s.drain_grace);
+    EXPECT_EQ(rig.sink.sends(rig.request(unsafe)), 0u);
+}
+
 // What a watch that ended did not tell counts as told 2 s later. The first call comes so early that it may
 // wait for those 2 s; without an answer nothing is sent from the end of the grace on, until the list is
 // there.
