--- a/tests/peers.h
+++ b/tests/peers.h
@@ -3,6 +3,8 @@
 #pragma once
 
 #include <gtest/gtest.h>
+#include <linux/sockios.h>
+#include <sys/ioctl.h>
 
 #include <boost/asio.hpp>
 #include <chrono>
@@ -48,6 +50,12 @@
         boost::system::error_code ignored;
         asio::write(socket_, asio::buffer(text.data(), text.size()), ignored);
     }
+    // How many of the bytes that were said have not yet reached the other side's socket.
+    int undelivered() const {
+        int bytes = 0;
+        EXPECT_EQ(::ioctl(const_cast<tcp::socket&>(socket_).native_handle(), SIOCOUTQ, &bytes), 0);
+        return bytes;
+    }
     void close() { socket_.close(); }
     void reset() {
         socket_.set_option(asio::socket_base::linger(true, 0));
@@ -225,6 +233,15 @@
         for (const auto& u : upstreams) n += u->wires.size();
         return n;
     }
+    // Has the host ended every connection to an upstream?
+    bool all_ended() const {
+        for (const auto& u : upstreams) {
+            for (const auto& wire : u->wires) {
+                if (!wire->ended) return false;
+            }
+        }
+        return true;
+    }
     bool nothing_sent() const {
         for (const auto& u : upstreams) {
             for (const auto& wire : u->wires) {
