Don't close a long rested client over a request that has come

What callers saw: a reset in place of an answer, where a client's connection had rested for over 10 s and its next request reached the socket in the very turn in which overdue connections are looked for (a loop held up for 0.3 s).

Cause: Connection::overdue took a connection with unread bytes for one with a request begun, and counted the request's 10 s from the start of the rest.

Found by reading, in a review of the read in one turn.

--- a/src/net/clients.cpp
+++ b/src/net/clients.cpp
@@ -127,9 +127,7 @@
     }
 
     // Between requests, and nothing that has arrived says otherwise.
-    bool idle() {
-        return state_ == State::reading && buffer_.size() == 0 && !parser_->got_some() && quiet(socket_);
-    }
+    bool idle() { return state_ == State::reading && !request_begun() && quiet(socket_); }
     // Idle for so long that it may be closed to make room.
     bool may_be_closed(Time now) { return now - since_ >= min_idle_before_close && idle(); }
     Time since() const { return since_; }
@@ -141,7 +139,9 @@
             case State::reading:
                 // Guards against peers that hold a connection and never send a request.
                 if (!asked_) return now - opened_ > first_request_timeout;
-                return now - since_ > (idle() ? idle_timeout : request_timeout);
+                if (request_begun()) return now - since_ > request_timeout;
+                // Guards against a request lost that has come and is about to be read.
+                return now - since_ > idle_timeout && quiet(socket_);
             case State::waiting: return false;
             default: return now - since_ > answer_timeout;
         }
@@ -172,6 +172,8 @@
     }
 
 private:
+    bool request_begun() const { return buffer_.size() > 0 || parser_->got_some(); }
+
     void enter(State state) {
         state_ = state;
         since_ = owner_.clock_.now();
--- a/tests/client_limits_test.cpp
+++ b/tests/client_limits_test.cpp
@@ -8,6 +8,7 @@
 #include <filesystem>
 #include <iterator>
 #include <sstream>
+#include <thread>
 
 #include "peers.h"
 
@@ -246,5 +247,27 @@
     EXPECT_TRUE(none_ended(idle));
 }
 
+// Guards against a request that is lost as its connection, at rest for longer than a request may take, is
+// looked at in the turn in which it has come and is not yet read. The loop is held up for longer than the gap
+// between two looks, so that this one and the request come in one turn, in either order of their timers.
+TEST(ClientLimits, ARequestThatCrossesALookAtAConnectionLongAtRestIsAnswered) {
+    constexpr auto longer_than_a_request = std::chrono::milliseconds(11000);
+    constexpr auto longer_than_between_looks = std::chrono::milliseconds(300);
+    Stage s(1);
+    s.start();
+    const auto client = s.client();
+    client->say(ready());
+    EXPECT_EQ(status(s.answer(*client)), 200);
+    const auto rested = Steady::now() + longer_than_a_request;
+    s.until([&] { return Steady::now() >= rested; });
+    asio::steady_timer crosses(s.loop, std::chrono::milliseconds(1));
+    crosses.async_wait([&](auto) {
+        client->say(ready());
+        while (client->undelivered() > 0) std::this_thread::sleep_for(std::chrono::milliseconds(1));
+    });
+    std::this_thread::sleep_for(longer_than_between_looks);
+    EXPECT_EQ(status(s.answer(*client)), 200);
+}
+
 }  // namespace
 }  // namespace flaxdoor::test
