Look at a kept connection for a second answer where it makes room

A connection that was closed at the limit of open ones was closed without a look: a second answer that stood unread there was neither counted nor taken for the sign that its upstream answers twice. It goes the way of all others now.

--- a/src/net/connection_pool.cpp
+++ b/src/net/connection_pool.cpp
@@ -18,21 +18,22 @@
     return kept.since > now - rest ? Reuse::resting : Reuse::ready;
 }
 
-bool ConnectionPool::acquire_slot() {
-    if (open_ >= limits_.connections && !close_oldest()) return false;
+bool ConnectionPool::acquire_slot(Time now) {
+    if (open_ >= limits_.connections && !close_oldest(now)) return false;
     ++open_;
     return true;
 }
 
-bool ConnectionPool::close_oldest() {
+bool ConnectionPool::close_oldest(Time now) {
     UpstreamPool* oldest = nullptr;
     for (auto& [upstream, pool] : pools_) {
         if (pool.kept.empty()) continue;
         if (!oldest || pool.kept.front().since < oldest->kept.front().since) oldest = &pool;
     }
     if (!oldest) return false;
-    oldest->kept.front().connection->close();
+    const Kept taken = std::move(oldest->kept.front());
     oldest->kept.erase(oldest->kept.begin());
+    close(taken, now);
     return true;
 }
 
--- a/src/net/connection_pool.h
+++ b/src/net/connection_pool.h
@@ -47,7 +47,7 @@
 
     // Has room for one more connection, and counts it as open. At the limit the connection that was kept
     // longest is closed for it. False where none is kept.
-    bool acquire_slot();
+    bool acquire_slot(Time now);
     void release_slot() { --open_; }
 
     // Takes out a connection to the upstream that is ready; none where there is no such one.
@@ -83,7 +83,8 @@
         Time single_use_until{};
     };
 
-    bool close_oldest();
+    bool close_oldest(Time now);
+    // With a look at what has come: a second answer there ends the upstream's other kept connections too.
     void close(const Kept& kept, Time now);
     static Reuse reuse_of(const UpstreamPool& pool, const Kept& kept, Time now);
 
--- a/src/net/upstreams.cpp
+++ b/src/net/upstreams.cpp
@@ -332,7 +332,7 @@
     if (const auto connection = std::static_pointer_cast<Connection>(kept)) {
         attempts_.emplace(attempt, connection);
         connection->reuse(attempt, std::move(request), expires, send_by);
-    } else if (pool_.acquire_slot()) {
+    } else if (pool_.acquire_slot(now)) {
         const auto opened = std::make_shared<Connection>(*this, upstream);
         attempts_.emplace(attempt, opened);
         opened->connect(address->second, attempt, std::move(request), expires, send_by);
--- a/tests/connection_pool_test.cpp
+++ b/tests/connection_pool_test.cpp
@@ -37,7 +37,7 @@
 };
 
 std::shared_ptr<FakeConnection> keep_one(ConnectionPool& pool, UpstreamId upstream, Time now) {
-    EXPECT_TRUE(pool.acquire_slot());
+    EXPECT_TRUE(pool.acquire_slot(now));
     auto connection = std::make_shared<FakeConnection>(pool, upstream);
     pool.keep(connection, now);
     return connection;
@@ -93,13 +93,21 @@
     ConnectionPool pool({2});
     const auto younger = keep_one(pool, 1, start + milliseconds(1));
     const auto oldest = keep_one(pool, 2, start);
-    EXPECT_TRUE(pool.acquire_slot());
+    EXPECT_TRUE(pool.acquire_slot(start + rest));
     EXPECT_TRUE(oldest->closed);
     EXPECT_FALSE(younger->closed);
     EXPECT_EQ(pool.take(1, start + milliseconds(11)), younger);
-    EXPECT_FALSE(pool.acquire_slot());
+    EXPECT_FALSE(pool.acquire_slot(start + rest));
     EXPECT_EQ(pool.open(), 2U);
 }
 
+// Guards against a second answer that is overlooked where its connection has to make room.
+TEST(ConnectionPool, NoticesASecondAnswerOnTheOneThatMakesRoom) {
+    ConnectionPool pool({1});
+    keep_one(pool, 1, start)->second_answer = true;
+    EXPECT_TRUE(pool.acquire_slot(start + milliseconds(2)));
+    EXPECT_FALSE(pool.keeps(1, start + milliseconds(2)));
+}
+
 }  // namespace
 }  // namespace flaxdoor::net
