Say two things of the decision module once

Change: a new upstream's record is set up through its own reference, and a rate that is used once has no name. No behaviour changes.

Measured: decide_test and property_test pass as before (77 and 2 tests).

--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -214,13 +214,12 @@
 
     void learn(Time now, const UpstreamEntry& entry, ListKind kind) {
         const auto [found, added] = index_.try_emplace(entry.id, upstreams_.size());
+        Upstream& u = added ? upstreams_.emplace_back() : upstreams_[found->second];
         if (added) {
-            upstreams_.emplace_back();
-            upstreams_.back().penalty = first_penalty();
-            upstreams_.back().services.resize(classes_.size());
-            upstreams_.back().turn = Random(entry.id).next();
+            u.penalty = first_penalty();
+            u.services.resize(classes_.size());
+            u.turn = Random(entry.id).next();
         }
-        Upstream& u = upstreams_[found->second];
         const bool restarted = !added && entry.started_at > u.entry.started_at;
         u.entry = entry;
         put_on_ring(found->second);
@@ -938,9 +937,8 @@
         for (const auto& u : upstreams_) {
             if (u.entry.state != UpstreamState::ready || u.out || warmth(u, now) < 1) continue;
             if (in_home_zone(u) != in_home_zone(like)) continue;
-            const double rate = u.answer_rate.now(now, rate_window_us_);
             const int same = u.entry.kind == like.entry.kind;
-            sum[same] += rate;
+            sum[same] += u.answer_rate.now(now, rate_window_us_);
             ++count[same];
         }
         known = {count[1] > 0 ? sum[1] / count[1] : count[0] > 0 ? sum[0] / count[0] : 0, now};
