Leave no room to a class of which no request has come

Callers saw: the first of requests that take long was served, those after it were refused with 503 while nothing else was out.

Cause: patience_us() held each request to a share of the aim of every class worth more, and a class without answers was guessed by its aim, even if no request of it had ever come.

Change: a class of which no request has come has no worth. That holds whatever the aims are, and ends with its first request.

Measured: Refusal.NothingIsLeftToAClassOfWhichNoRequestHasCome failed before (0 sends in place of 1) and passes.

--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -991,8 +991,10 @@
         return least_patience + (1 - least_patience) * density / denser;
     }
 
-    // Worth for the work, for which latency stands: the longest useful one before the first answer.
+    // Worth for the work, for which latency stands: the longest useful one before the first answer. None for
+    // a class of which no request has come: nothing is left to that.
     double density(std::size_t c) const {
+        if (classes_[c].left_us == 0) return 0;
         const double work =
             classes_[c].latency.samples == 0 ? us(s_.classes[c].aim) : classes_[c].latency.value;
         return s_.classes[c].worth / std::max(1.0, work);
