List long requests that are refused beside short ones

Callers see: where a class of long requests comes beside one with a short aim, most of the long ones are refused, though each would be alone and in time.

Change: a test, listed. Its bound is the operators' (of each class half of what could be served).

--- a/tests/refusal_test.cpp
+++ b/tests/refusal_test.cpp
@@ -42,6 +42,32 @@
     }
 }
 
+// Guards against a class of which nearly all is refused, though each request would be alone and in time,
+// because another class that comes beside it has a shorter aim. The bound is the operators': of each class at
+// least half of what could be served.
+TEST(Refusal, LongRequestsAreServedBesideShortOnes) {
+    constexpr int rounds = 100;
+    constexpr int short_class = unsafe, long_class = safe;
+    Settings s = plain_settings();
+    for (auto& c : s.classes) c.aim = milliseconds(150);
+    s.classes[long_class].aim = milliseconds(1500);
+    s.classes[long_class].deadline = milliseconds(5000);
+    Rig rig(s);
+    rig.fleet(4);
+    std::size_t sent[] = {0, 0};
+    for (int i = 0; i < rounds; ++i) {
+        for (const bool is_long : {true, false}) {
+            const Micros latency = milliseconds(is_long ? 300 : 20);
+            const auto id = rig.request(is_long ? long_class : short_class);
+            sent[is_long] += rig.sink.sends(id);
+            rig.now += latency;
+            if (rig.sink.sends(id) == 1) rig.end(id, 0, Outcome::ok, latency);
+        }
+    }
+    EXPECT_GE(sent[true], rounds / 2u);
+    EXPECT_GE(sent[false], rounds / 2u);
+}
+
 // Guards against a tenant that crowds out the others.
 TEST(Refusal, WhatATenantSendsBeyondItsShareIsShedFirst) {
     Settings s = plain_settings();
