Answer a request behind another in a shutdown, not drop it

Callers saw: of requests sent on one connection without waiting, the first one answered once the host winds down got its answer, and those behind it, though read, the end of the connection.

Cause: Clients::Connection::answer said Connection: close in each answer of a shutdown, and linger() then dropped what stood behind the request.

Change: an answer closes the connection in a shutdown only where nothing has come behind its request, read or still in the socket.

Three new tests failed before: a request still unread, half a request, eight requests behind an upstream that hangs.

--- a/src/net/clients.cpp
+++ b/src/net/clients.cpp
@@ -149,7 +149,7 @@
 
     void answer(HttpResponse response) {
         response.version(11);
-        response.keep_alive(keep_alive_ && !overrun_ && !owner_.winding_down_);
+        response.keep_alive(!ends_with_answer());
         response.prepare_payload();
         last_ = !response.keep_alive();
         out_ = to_bytes(response);
@@ -174,6 +174,13 @@
 private:
     bool request_begun() const { return buffer_.size() > 0 || parser_->got_some(); }
 
+    // Guards against a request lost in a shutdown: one that has come behind the request answered now keeps
+    // the connection for its own answer.
+    bool ends_with_answer() {
+        if (!keep_alive_ || overrun_) return true;
+        return owner_.winding_down_ && buffer_.size() == 0 && quiet(socket_);
+    }
+
     void enter(State state) {
         state_ = state;
         since_ = owner_.clock_.now();
--- a/src/net/clients.h
+++ b/src/net/clients.h
@@ -47,8 +47,9 @@
     void answer(RequestId request, HttpResponse response);
     // Tells of the client of a request that has gone by now, whether or not its turn to be read has come.
     void notice_end(RequestId request);
-    // From now on every answer closes its connection; those between requests are closed. Returns whether
-    // there are others: a request is coming in or waits, or an answer may not have arrived.
+    // From now on an answer closes its connection unless a further request has come on it, and connections
+    // between requests are closed. Returns whether there are others: a request is coming in or waits, or an
+    // answer may not have arrived.
     bool wind_down();
     void stop();
 
--- a/tests/crossed_answers_test.cpp
+++ b/tests/crossed_answers_test.cpp
@@ -336,6 +336,88 @@
     EXPECT_TRUE(has(s.answer(*client), "to the request behind"));
 }
 
+// Long after SIGTERM: the host winds down.
+constexpr auto past_still_coming = std::chrono::milliseconds(600);
+
+// Runs the loop until the shutdown that begins now winds down.
+void drain_until_it_winds_down(Stage& s) {
+    s.host->drain();
+    const auto winds_down = std::chrono::steady_clock::now() + past_still_coming;
+    s.until([&] { return std::chrono::steady_clock::now() >= winds_down; });
+}
+
+// Guards against a request dropped in a shutdown that comes in the very moment of the answer before it: it
+// stands unread in its socket then. The answer and the request are both there before the host looks at
+// either.
+TEST(CrossedClients, ARequestThatComesWithTheAnswerBeforeItIsAnsweredInAShutdown) {
+    Stage s(1);
+    s.config["settings"]["services"][0]["aim"] = 4000.0;
+    s.start();
+    const auto client = s.client();
+    client->say(look(5000, "one"));
+    const auto wire = s.request().first;
+    drain_until_it_winds_down(s);
+    wire->say(ok("to one"));
+    client->say(look(5000, "two"));
+    EXPECT_TRUE(has(s.answer(*client), "to one"));
+    const auto next = s.request().first;
+    ASSERT_TRUE(next);
+    next->say(ok("to two"));
+    const std::string answer = s.answer(*client);
+    EXPECT_TRUE(has(answer, "to two"));
+    EXPECT_TRUE(has(answer, "Connection: close")) << "nothing more has come";
+    s.until([&] { return client->ended; });
+    client->close();
+    s.until([&] { return s.host->drained(); });
+}
+
+// Guards against a request that a shutdown cuts off in the middle: its first half stands behind another.
+TEST(CrossedClients, ARequestCutBehindAnotherIsTakenWholeInAShutdown) {
+    const std::string request = look(5000, "second");
+    Stage s(1);
+    s.config["settings"]["services"][0]["aim"] = 4000.0;
+    s.start();
+    const auto client = s.client();
+    client->say(look(5000, "first") + request.substr(0, request.size() / 2));
+    const auto wire = s.request().first;
+    drain_until_it_winds_down(s);
+    wire->say(ok("to the first"));
+    EXPECT_TRUE(has(s.answer(*client), "to the first"));
+    settle(s);
+    EXPECT_FALSE(client->ended);
+    client->say(request.substr(request.size() / 2));
+    const auto [next, forwarded] = s.request();
+    ASSERT_TRUE(next);
+    EXPECT_TRUE(has(forwarded, "X-Call-Id: second\r\n")) << forwarded;
+    next->say(ok("to the second"));
+    EXPECT_TRUE(has(s.answer(*client), "to the second"));
+}
+
+// Guards against requests that have been read and get no answer before SIGKILL: several came at once, and the
+// upstream of the first one hangs through the whole shutdown.
+TEST(CrossedClients, AllThatCameTogetherAreAnsweredBeforeTheKill) {
+    constexpr auto earliest_kill = std::chrono::milliseconds(3700);
+    constexpr int requests = 8;
+    Stage s(1);
+    s.start();
+    const auto client = s.client();
+    std::string at_once;
+    for (int i = 0; i < requests; ++i) at_once += once();
+    client->say(at_once);
+    s.request();
+    asio::steady_timer kill(s.loop, earliest_kill);
+    bool killed = false;
+    s.host->drain();
+    kill.async_wait([&](auto) { killed = true; });
+    int answered = 0;
+    s.until([&] {
+        answered += !client->take().empty();
+        return killed || answered == requests;
+    });
+    EXPECT_EQ(answered, requests);
+    EXPECT_FALSE(killed);
+}
+
 // Guards against a request that is read and dropped in a shutdown: it came whole with the one before it.
 TEST(CrossedClients, TheSecondOfTwoThatCameTogetherIsAnsweredInAShutdown) {
     constexpr auto until_it_winds_down = std::chrono::milliseconds(600);
