Write down what a marked last request would cost against late second answers

Cause: the listed second answer can't be told from the next request's own answer, as answers name no request.

--- a/tests/second_answer_worlds_test.cpp
+++ b/tests/second_answer_worlds_test.cpp
@@ -80,7 +80,8 @@
 
 // Kept.ReusesAConnection asks that the answer reaches the client, the listed
 // Idle.ASecondAnswerLaterThanTheRestIsNeverGivenToTheNextRequest that it doesn't. They differ in the words of
-// the body alone, which belong to clients. Where connections are kept, one of the two has to fail.
+// the body alone, which belong to clients. Where a connection carries a further request that doesn't say that
+// it is the last one, one of the two has to fail.
 TEST(TwoWorlds, AnAnswerAndALateSecondAnswerLookTheSame) {
     const Played once = play(World::each_request_is_answered_once);
     const Played twice = play(World::the_first_is_answered_twice);
