--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -683,11 +683,8 @@
 
     void wake(std::size_t slot, Time now) {
         if (send_retry(slot, now)) return;
-        if (open_[slot].attempts.empty()) {
-            turn_away(slot, now);
-        } else {
-            wait_gap(slot, now, now);
-        }
+        if (open_[slot].attempts.empty()) return turn_away(slot, now);
+        wait_gap(slot, now, now);
     }
 
     void on_attempt_end(Time now, const AttemptEnd& end) {
