Judge no class by another's aim: learn an upstream's slowdown

Callers saw: where a class of long requests comes beside one with a short aim, most of the long ones were refused, though each would have been alone and in time.

Cause: Upstream::latency_us was one figure over all classes, and patience_us() held it to a part of the aim of each class worth more. So a long request's own latency was compared with a short one's aim.

Change: what is learned of an upstream is its slowdown, the latency as a multiple of the base latency of the request's class. A request is sent where it would be in time, and each class worth more in its part of its own aim. No constant changes. The test of the absent class gets a second latency, as with this change the first one alone no longer needs its rule (seen failing with the rule taken out).

--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -106,9 +106,9 @@
     double delay_us = 0;  // q_avg
     Time delay_at{};
     double per_held_us = 0;  // learned: time that each request it reports as held adds, 1 / rate
-    double latency_us = 0;   // smoothed latency here, and the number of ours there at those sends
-    double ours = 0;
-    double idle_us = 0;          // smoothed latency of those that were alone of ours
+    double slowdown = 0;  // smoothed latency here in base latencies of each class, so that classes compare,
+    double ours = 0;      //   and the number of ours there at those sends
+    double lone_slowdown = 0;    // the same of those that were alone of ours
     double limit = first_limit;  // of ours in flight: grows with answers, falls with full refusals and crowds
     bool limited = false;        // it has fallen once
     FadingAverage full;          // of attempts, those turned away as full
@@ -288,10 +288,12 @@
 
     void learn_capacity(Upstream& u, double latency_us, int ours, std::size_t c) {
         const double weight = u.ours == 0 ? 1 : delay_weight;
-        u.latency_us += weight * (latency_us - u.latency_us);
+        const double slowdown = latency_us / std::max(1.0, base_us(c));
+        u.slowdown += weight * (slowdown - u.slowdown);
         u.ours += weight * (ours - u.ours);
-        if (ours == 1) u.idle_us += (u.idle_us == 0 ? 1 : delay_weight) * (latency_us - u.idle_us);
-        if (latency_us > crowd * base_us(c)) {
+        if (ours == 1)
+            u.lone_slowdown += (u.lone_slowdown == 0 ? 1 : delay_weight) * (slowdown - u.lone_slowdown);
+        if (slowdown > crowd) {
             u.limit = std::max(1.0, std::min(u.limit, ours + 1.0) - limit_growth);
             u.limited = true;
         } else if (ours + 1 > u.limit) {
@@ -352,19 +354,30 @@
         u.limited = true;
     }
 
-    // Would one more request of class c there be answered in time? Its latency is that of a lone one and what
-    // each of ours adds, on a line through what was met lately. Being turned away costs a gap.
+    // Would one more request of class c there be answered within `patience`? Its latency is that of a lone
+    // one and what each of ours adds, on a line through what was met lately. Being turned away costs a gap.
     bool in_time(const Upstream& u, std::size_t c, double patience, Time now) const {
         if (u.ours == 0) return true;
-        const double proportion = u.latency_us / u.ours;
-        const double idle = u.idle_us == 0 ? proportion : std::min(u.idle_us, u.latency_us);
-        const double slope = u.ours <= 1 ? proportion : (u.latency_us - idle) / (u.ours - 1);
-        const double waiting = u.in_flight * std::clamp(slope, least_slope * proportion, proportion) +
-                               u.full.now(now, decay_us()) * classes_[c].t1_us;
-        const double lone = faded(idle, u.answered_at, now, decay_us());
+        const double proportion = u.slowdown / u.ours;
+        const double lone_then = u.lone_slowdown == 0 ? proportion : std::min(u.lone_slowdown, u.slowdown);
+        const double slope = u.ours <= 1 ? proportion : (u.slowdown - lone_then) / (u.ours - 1);
+        const double each = std::clamp(slope, least_slope * proportion, proportion) * base_us(c);
+        const double waiting = u.in_flight * each + u.full.now(now, decay_us()) * classes_[c].t1_us;
+        const double lone = faded(lone_then, u.answered_at, now, decay_us()) * base_us(c);
         return waiting <= aim_margin * (patience - lone) && lone <= most_lone * patience;
     }
 
+    // Would this request there be in time, and any of a class worth more in its part of the aim?
+    bool leaves_all_in_time(const Upstream& u, const Open& r, Time now) const {
+        const double own = density(r);
+        for (std::size_t d = 0; d < classes_.size(); ++d) {
+            if (d != class_of(r) && density(d) <= own) continue;
+            const double share = density(d) > own ? share_beside(own, density(d)) : 1;
+            if (!in_time(u, d, share * us(s_.classes[d].aim), now)) return false;
+        }
+        return true;
+    }
+
     // The delay that an outcome tells: reported requests held over the rate, else the latency itself.
     void learn_delay(Upstream& u, const AttemptEnd& end, std::size_t c, Time now) {
         const double latency = us(end.latency);
@@ -484,11 +497,10 @@
         home_.clear();
         away_.clear();
         if (room_used(room() * share)) return;
-        const double patience = patience_us(r);
         // Where the aim is lost, or that is known to be full at what it holds of ours.
         const auto lost = [&](std::size_t i) {
             const Upstream& u = upstreams_[i];
-            return u.in_flight >= std::max(1.0, u.limit * share) || !in_time(u, c, patience, now);
+            return u.in_flight >= std::max(1.0, u.limit * share) || !leaves_all_in_time(u, r, now);
         };
         if (const int zone = draw_zone(now); zone != s_.zone) {
             gather(away_ring_, home_, c, now, false,
@@ -951,17 +963,6 @@
         return std::ranges::none_of(r.attempts, &Attempt::may_have_run);
     }
 
-    // Latency beyond which a request is not sent: its aim, less what it leaves to classes worth more.
-    double patience_us(const Open& r) const {
-        const double own = density(r);
-        double patience = us(s_.classes[class_of(r)].aim);
-        for (std::size_t d = 0; d < classes_.size(); ++d) {
-            if (density(d) <= own) continue;
-            patience = std::min(patience, share_beside(own, density(d)) * us(s_.classes[d].aim));
-        }
-        return patience;
-    }
-
     // Share of an upstream's room that a request may fill: all of it for the class worth most for its work.
     double precedence(const Open& r) const {
         const double own = density(r);
--- a/tests/refusal_test.cpp
+++ b/tests/refusal_test.cpp
@@ -27,18 +27,19 @@
 // Guards against requests that are refused for the sake of a class of which none has ever come: long ones,
 // each of which is in time.
 TEST(Refusal, NothingIsLeftToAClassOfWhichNoRequestHasCome) {
-    constexpr auto long_latency = milliseconds(600);
-    Settings s = plain_settings();
-    for (auto& c : s.classes) c.aim = milliseconds(150);
-    s.classes[safe].aim = milliseconds(1500);
-    s.classes[safe].deadline = milliseconds(5000);
-    Rig rig(s);
-    rig.fleet(1);
-    for (int i = 0; i < 3; ++i) {
-        const auto id = rig.request(safe, milliseconds(5000));
-        ASSERT_EQ(rig.sink.sends(id), 1u) << i;
-        rig.now += long_latency;
-        rig.end(id, 0, Outcome::ok, long_latency);
+    for (const auto long_latency : {milliseconds(600), milliseconds(900)}) {
+        Settings s = plain_settings();
+        for (auto& c : s.classes) c.aim = milliseconds(150);
+        s.classes[safe].aim = milliseconds(1500);
+        s.classes[safe].deadline = milliseconds(5000);
+        Rig rig(s);
+        rig.fleet(1);
+        for (int i = 0; i < 3; ++i) {
+            const auto id = rig.request(safe, milliseconds(5000));
+            ASSERT_EQ(rig.sink.sends(id), 1u) << i;
+            rig.now += long_latency;
+            rig.end(id, 0, Outcome::ok, long_latency);
+        }
     }
 }
 
