Log why attempts needed a new connection to their upstream

Change: the pool counts the takes that found none ready, by whether none was kept, all that were kept rested, or the upstream is at single use; the line on attempts has the three counts. No behaviour changes.

Test: ConnectionPool.CountsWhyNoneWasReady; it fails where a resting one is counted as none kept (tried).

--- a/src/net/connection_pool.cpp
+++ b/src/net/connection_pool.cpp
@@ -44,7 +44,7 @@
     for (;;) {
         auto at = std::ranges::find_if(
             pool.kept, [&](const Kept& kept) { return reuse_of(pool, kept, now) != Reuse::ready; });
-        if (at == pool.kept.begin()) return nullptr;
+        if (at == pool.kept.begin()) break;
         --at;  // the one used last of those that are ready
         const Kept kept = std::move(*at);
         pool.kept.erase(at);
@@ -52,6 +52,18 @@
         ++figures_.stale;
         close(kept, now);
     }
+    count_none_ready(pool, now);
+    return nullptr;
+}
+
+void ConnectionPool::count_none_ready(const UpstreamPool& pool, Time now) {
+    if (now < pool.single_use_until) {
+        ++figures_.single_use;
+    } else if (pool.kept.empty()) {
+        ++figures_.none_kept;
+    } else {
+        ++figures_.resting;
+    }
 }
 
 bool ConnectionPool::keeps(UpstreamId upstream, Time now) const {
--- a/src/net/connection_pool.h
+++ b/src/net/connection_pool.h
@@ -50,7 +50,8 @@
     bool acquire_slot(Time now);
     void release_slot() { --open_; }
 
-    // Takes out a connection to the upstream that is ready; none where there is no such one.
+    // Takes out a connection to the upstream that is ready. Where there is none, another is needed, which is
+    // counted by what the kept ones lack.
     ConnectionPtr take(UpstreamId upstream, Time now);
     // Whether a connection to the upstream may be kept once it has been answered.
     bool keeps(UpstreamId upstream, Time now) const;
@@ -69,6 +70,7 @@
     // What the log says, since the last call.
     struct Figures {
         unsigned stale = 0;  // kept connections found ended, or spoken on, as they were to be used
+        unsigned none_kept = 0, resting = 0, single_use = 0;  // why none was ready
         SecondAnswerTally second_answers;
     };
     Figures take_figures();
@@ -87,6 +89,7 @@
     // With a look at what has come: a second answer there ends the upstream's other kept connections too.
     void close(const Kept& kept, Time now);
     static Reuse reuse_of(const UpstreamPool& pool, const Kept& kept, Time now);
+    void count_none_ready(const UpstreamPool& pool, Time now);
 
     const ConnectionPoolLimits limits_;
     std::unordered_map<UpstreamId, UpstreamPool> pools_;
--- a/src/net/upstreams.cpp
+++ b/src/net/upstreams.cpp
@@ -391,14 +391,16 @@
     ConnectionPool::Figures pool = pool_.take_figures();
     const std::string second_answers = pool.second_answers.take_text();
     if (f.sent == 0 && second_answers.empty()) return {};
-    char line[320];
+    char line[400];
     std::snprintf(line, sizeof line,
                   "attempts %u: unreadable %u, reset %u, timeout %u, moot %u, withdrawn %u; connections %zu "
                   "open, %u made "
                   "(slowest %.1f ms), "
-                  "%u refused, %u too slow, %u broke unwritten, %u found ended",
+                  "%u refused, %u too slow, %u broke unwritten, %u found ended; needed as none was kept %u, "
+                  "all rested %u, single use %u",
                   f.sent, f.unreadable, f.reset, f.timeout, f.moot, f.withdrawn, pool_.open(), f.made,
-                  static_cast<double>(f.slowest.count()) / 1e3, f.refused, f.slow, f.unwritten, pool.stale);
+                  static_cast<double>(f.slowest.count()) / 1e3, f.refused, f.slow, f.unwritten, pool.stale,
+                  pool.none_kept, pool.resting, pool.single_use);
     std::string text = line;
     for (const std::string& tally : {second_answers, refusals_.take_text()}) {
         if (!tally.empty()) text.append("; ").append(tally);
--- a/tests/connection_pool_test.cpp
+++ b/tests/connection_pool_test.cpp
@@ -71,6 +71,21 @@
     EXPECT_EQ(pool.take_figures().stale, 1U);
 }
 
+TEST(ConnectionPool, CountsWhyNoneWasReady) {
+    ConnectionPool pool({64});
+    EXPECT_FALSE(pool.take(1, start));
+    keep_one(pool, 1, start);
+    EXPECT_FALSE(pool.take(1, start));
+    EXPECT_FALSE(pool.take(1, start + rest - Micros{1}));
+    pool.on_second_answer(1, start, Micros{0});
+    for (int i = 0; i < 3; ++i) EXPECT_FALSE(pool.take(1, start + rest));
+    const ConnectionPool::Figures figures = pool.take_figures();
+    EXPECT_EQ(figures.none_kept, 1U);
+    EXPECT_EQ(figures.resting, 2U);
+    EXPECT_EQ(figures.single_use, 3U);
+    EXPECT_EQ(pool.take_figures().resting, 0U);
+}
+
 TEST(ConnectionPool, KeepsNoneOfAnUpstreamThatHasAnsweredTwiceLately) {
     const ConnectionPoolLimits limits{64};
     ConnectionPool pool(limits);
