--- /dev/null
+++ b/tests/message_forms_test.cpp
@@ -0,0 +1,179 @@
+// Messages in pieces and in all the forms that the protocol allows, over loopback sockets: requests of
+// clients, answers and refusals of upstreams.
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <string>
+#include <string_view>
+
+#include "peers.h"
+#include "slow_upstream.h"
+
+namespace flaxdoor::test {
+
+namespace {
+
+std::string lower_case(std::string text) {
+    for (char& c : text) c = static_cast<char>(std::tolower(static_cast<unsigned char>(c)));
+    return text;
+}
+
+// Each piece has been read by the time the next one is written.
+void say_in_pieces(Stage& s, Wire& wire, std::string_view text, std::size_t size) {
+    for (std::size_t at = 0; at < text.size(); at += size) {
+        wire.say(text.substr(at, size));
+        s.loop.restart();
+        s.loop.poll();
+    }
+}
+
+struct RequestForm {
+    const char* what;
+    std::string text;
+    std::string body;
+};
+
+std::vector<RequestForm> request_forms() {
+    const std::string line = "POST /api?a=1&b=%20 HTTP/1.1\r\n";
+    const std::string facts =
+        "X-Call-Id: 9b1f\r\nX-Call-Class: book it\r\nX-Budget-Ms: 5000\r\nIdempotency-Key: k7\r\n";
+    const std::string plain = line + "Host: api.internal\r\n" + facts;
+    return {
+        {"as on the page", plain + "Content-Length: 4\r\n\r\na\r\nb", "a\r\nb"},
+        {"names in small letters",
+         line + "host: api.internal\r\nx-call-id: 9b1f\r\nx-call-class: book it\r\nx-budget-ms: 5000\r\n"
+                "idempotency-key: k7\r\ncontent-length: 4\r\n\r\nbody",
+         "body"},
+        {"names in capitals",
+         line + "HOST: api.internal\r\nX-CALL-ID: 9b1f\r\nX-CALL-CLASS: book it\r\nX-BUDGET-MS: 5000\r\n"
+                "IDEMPOTENCY-KEY: k7\r\nCONTENT-LENGTH: 4\r\n\r\nbody",
+         "body"},
+        {"no spaces",
+         line + "Host:api.internal\r\nX-Call-Id:9b1f\r\nX-Call-Class:book it\r\nX-Budget-Ms:5000\r\n"
+                "Idempotency-Key:k7\r\nContent-Length:4\r\n\r\nbody",
+         "body"},
+        {"spaces and tabs round values",
+         line +
+             "Host: \t api.internal\r\nX-Call-Id:  9b1f \t\r\nX-Call-Class:\tbook it \r\nX-Budget-Ms:   5000 "
+             " \r\nIdempotency-Key: \tk7\t\r\nContent-Length: \t4 \r\n\r\nbody",
+         "body"},
+        {"no body, length 0", plain + "Content-Length: 0\r\n\r\n", ""},
+        {"one chunk", plain + "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n", "body"},
+        {"many chunks, sizes in both cases and with zeros",
+         plain + "Transfer-Encoding: chunked\r\n\r\na\r\n0123456789\r\nB\r\n0123456789a\r\n0002\r\n\r\n\r\n"
+                 "0\r\n\r\n",
+         "01234567890123456789a\r\n"},
+        {"chunk extensions and a trailer",
+         plain + "Transfer-Encoding: chunked\r\n\r\n2;n=1\r\nbo\r\n2;q=\"a;b\"\r\ndy\r\n0;last\r\nX-Sum: "
+                 "7\r\n\r\n",
+         "body"},
+        {"chunked in other letters", plain + "transfer-encoding: Chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
+         "body"},
+        {"a client that asks before it sends its body",
+         plain + "Expect: 100-continue\r\nContent-Length: 4\r\n\r\nbody", "body"},
+    };
+}
+
+TEST(Pieces, RequestsInAllFormsArePassedOnWholeAndOnce) {
+    for (const std::size_t size : {1, 3, 7}) {
+        for (const auto& form : request_forms()) {
+            Stage s;
+            s.start();
+            const auto client = s.client();
+            say_in_pieces(s, *client, form.text, size);
+            const auto [wire, request] = s.request();
+            EXPECT_TRUE(has(request, "POST /api?a=1&b=%20 HTTP/1.1\r\n")) << form.what;
+            const std::string headers = lower_case(request.substr(0, request.find("\r\n\r\n") + 2));
+            EXPECT_TRUE(has(headers, "\r\nx-call-id: 9b1f\r\n")) << form.what;
+            EXPECT_TRUE(has(headers, "\r\nidempotency-key: k7\r\n")) << form.what;
+            EXPECT_FALSE(has(headers, "\r\ntransfer-encoding:")) << form.what;
+            EXPECT_EQ(request.substr(request.find("\r\n\r\n") + 4), form.body) << form.what;
+            wire->say(ok());
+            s.until([&] { return has(client->in, "served"); });
+            EXPECT_TRUE(has(client->in, "HTTP/1.1 200 OK\r\n")) << form.what;
+            settle(s);
+            EXPECT_TRUE(s.nothing_sent()) << form.what;
+            EXPECT_EQ(s.connections(), 1U) << form.what;
+            client->in.clear();
+            client->say(look());  // its end was found: the next request is read as such
+            s.request().first->say(ok());
+            EXPECT_EQ(status(s.answer(*client)), 200) << form.what;
+            s.host.reset();
+        }
+    }
+}
+
+TEST(Pieces, AnswersInAllFormsArePassedOnWhole) {
+    struct AnswerForm {
+        const char* what;
+        std::string text;
+        bool ends;
+    };
+    const std::vector<AnswerForm> forms = {
+        {"as on the page", ok(), false},
+        {"small letters, no spaces", "HTTP/1.1 200 OK\r\ncontent-length:6\r\n\r\nserved", false},
+        {"capitals, spaces and tabs", "HTTP/1.1 200 OK\r\nCONTENT-LENGTH: \t6 \t\r\n\r\nserved", false},
+        {"no reason", "HTTP/1.1 200 \r\nContent-Length: 6\r\n\r\nserved", false},
+        {"chunks with extensions and a trailer",
+         "HTTP/1.1 200 OK\r\nTransfer-Encoding: "
+         "chunked\r\n\r\n3;n=\"a;b\"\r\nser\r\n03\r\nved\r\n0\r\nX-Sum: "
+         "1\r\n\r\n",
+         false},
+        {"chunked in other letters",
+         "HTTP/1.1 200 OK\r\ntransfer-encoding: CHUNKED\r\n\r\n6\r\nserved\r\n0\r\n\r\n", false},
+        {"no length, up to the connection's end", "HTTP/1.1 200 OK\r\n\r\nserved", true},
+        {"behind two interim answers", "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 102 Processing\r\n\r\n" + ok(),
+         false},
+    };
+    for (const std::size_t size : {1, 3, 7}) {
+        for (const auto& form : forms) {
+            Stage s(1);
+            s.start();
+            const auto client = s.client();
+            client->say(once());
+            const auto wire = s.request().first;
+            say_in_pieces(s, *wire, form.text, size);
+            if (form.ends) wire->close();
+            const auto answer = s.answer(*client);
+            EXPECT_EQ(status(answer), 200) << form.what;
+            EXPECT_EQ(answer.substr(answer.find("\r\n\r\n") + 4), "served") << form.what;
+            s.host.reset();
+        }
+    }
+}
+
+TEST(Pieces, ARefusalInAnyFormIsProofThatNothingRan) {
+    for (const std::string refusal :
+         {"HTTP/1.1 503 Service Unavailable\r\nx-rejected:1\r\ncontent-length:0\r\n\r\n",
+          "HTTP/1.1 504 \r\nX-REJECTED: \t1 \r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n"}) {
+        Stage s;
+        s.start();
+        const auto client = s.client();
+        client->say(once());
+        say_in_pieces(s, *s.request().first, refusal, 3);
+        s.request().first->say(ok());
+        EXPECT_EQ(status(s.answer(*client)), 200) << refusal;
+        s.host.reset();
+    }
+}
+
+// A reset is not the end of an answer that tells no length: it has failed, and it may have run.
+TEST(Pieces, AnAnswerWithoutLengthThatIsResetIsNoAnswer) {
+    for (const bool unsafe : {true, false}) {
+        Stage s;
+        s.start();
+        const auto client = s.client();
+        client->say(unsafe ? once() : look());
+        const auto wire = s.request().first;
+        say_in_pieces(s, *wire, "HTTP/1.1 200 OK\r\n\r\nserv", 7);
+        wire->reset();
+        if (!unsafe) s.request().first->say(ok());
+        EXPECT_EQ(status(s.answer(*client)), unsafe ? 502 : 200);
+        settle(s);
+        EXPECT_TRUE(s.nothing_sent());
+        s.host.reset();
+    }
+}
+}  // namespace
+
+}  // namespace flaxdoor::test
--- /dev/null
+++ b/tests/rubbish_test.cpp
@@ -0,0 +1,147 @@
+// Peers that send no proper request: each is owed an error or a close within the operators' times, and none
+// reaches an upstream. Sockets are on loopback.
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <chrono>
+#include <string>
+#include <vector>
+
+#include "peers.h"
+#include "slow_upstream.h"
+
+namespace flaxdoor::test {
+
+namespace {
+
+using Steady = std::chrono::steady_clock;
+
+// From connecting on, and as long as there are 60 MB to send.
+constexpr std::chrono::seconds rubbish_limit(3), flood_limit(6);
+
+std::vector<std::string> rubbish() {
+    using namespace std::string_literals;
+    const std::string head = "POST /api HTTP/1.1\r\nHost: x\r\nX-Call-Id: c\r\nX-Call-Class: once\r\n";
+    const std::string request = once();
+    const std::string inner = look();
+    return {
+        "",
+        "G",
+        "\r\n",
+        "GET /api HTTP/1.1",
+        "GET /api\r\n\r\n",
+        "GET  /api  HTTP/1.1\r\n\r\n",
+        "PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n",
+        "\x16\x03\x01\x02\x00\x01\x00\x01\xfc\x03\x03"s,
+        std::string(1000, '\0'),
+        request.substr(0, request.size() - 1),
+        request.substr(0, request.find("\r\n\r\n") + 2),
+        head + "X-Budget-Ms: 100\r\nContent-Length: 4\r\nContent-Length: 5\r\n\r\nbody",
+        head + "X-Budget-Ms: 100\r\nX-Budget-Ms : 100\r\nContent-Length: 0\r\n\r\n",
+        head + "X-Budget-Ms: 100\r\nTransfer-Encoding: chunked\r\n\r\nxyz\r\n",
+        head + "X-Budget-Ms: 100\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody",
+        head + "X-Budget-Ms: 100\r\nTransfer-Encoding: chunked\r\n\r\nffffffffffffffffff\r\nbody",
+        head + "X-Budget-Ms: 100\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n" + inner,
+        head + "X-Budget-Ms: 100\r\nTransfer-Encoding: chunked\r\nContent-Length: 4\r\n\r\n0\r\n\r\n" + inner,
+        "nonsense\r\n\r\n" + inner,
+        head + "X-Budget-Ms: none\r\nContent-Length: " + std::to_string(inner.size()) + "\r\n\r\n" + inner,
+        "DELETE /api HTTP/1.1\r\nHost: x\r\nX-Call-Id: c\r\nX-Call-Class: look\r\nX-Budget-Ms: 100\r\n\r\n",
+        "GET /api HTTP/1.1\r\nHost: x\r\nX-Call-Id: c\r\nX-Call-Class: once\r\nX-Budget-Ms: 100\r\n\r\n",
+    };
+}
+
+bool refused_or_closed(const Wire& wire) { return wire.ended || status(wire.in) >= 400; }
+
+// One of them sends a byte at a time for as long as it may.
+TEST(Rubbish, GetsAnErrorOrACloseInTimeAndReachesNoUpstream) {
+    Stage s;
+    s.start();
+    const auto began = Steady::now();
+    std::vector<std::shared_ptr<Wire>> peers;
+    for (const auto& text : rubbish()) {
+        peers.push_back(s.client());
+        peers.back()->say(text);
+    }
+    const auto trickling = s.client();
+    s.until([&] {
+        if (!trickling->ended) trickling->say("a");
+        return refused_or_closed(*trickling) &&
+               std::all_of(peers.begin(), peers.end(), [](const auto& p) { return refused_or_closed(*p); });
+    });
+    EXPECT_LT(Steady::now() - began, rubbish_limit);
+    for (std::size_t i = 0; i < peers.size(); ++i) {
+        EXPECT_TRUE(refused_or_closed(*peers[i])) << rubbish()[i];
+        EXPECT_FALSE(has(peers[i]->in, "HTTP/1.1 200")) << rubbish()[i];
+    }
+    settle(s);
+    for (const auto& upstream : s.upstreams) {
+        for (const auto& wire : upstream->wires) ADD_FAILURE() << "reached an upstream: " << wire->in;
+    }
+}
+
+// Where such a body ends is not known, whatever its length says: what follows could be taken for a request.
+TEST(Rubbish, ABodyInAnUnknownTransferCodingIsRefused) {
+    Stage s;
+    s.start();
+    const auto client = s.client();
+    client->say(
+        "POST /api HTTP/1.1\r\nHost: x\r\nX-Call-Id: c\r\nX-Call-Class: once\r\nX-Budget-Ms: 5000\r\n"
+        "Transfer-Encoding: gzip\r\nContent-Length: 4\r\n\r\nbody");
+    settle(s);
+    for (const auto& upstream : s.upstreams) {
+        for (const auto& wire : upstream->wires) ADD_FAILURE() << "reached an upstream: " << wire->in;
+    }
+    EXPECT_GE(status(client->in), 400);
+}
+
+// A peer that goes on sending whatever it is answered.
+class Flood {
+public:
+    Flood(Stage& s, std::string text) : socket_(s.loop), text_(std::move(text)) {
+        socket_.connect(s.host->address());
+        asio::async_write(socket_, asio::buffer(text_), [](auto, std::size_t) {});
+        read();
+    }
+    bool refused_or_closed() const { return ended_ || status(in_) >= 400; }
+
+private:
+    void read() {
+        socket_.async_read_some(asio::buffer(piece_), [this](auto error, std::size_t got) {
+            in_.append(piece_, got);
+            ended_ = static_cast<bool>(error);
+            if (!error) read();
+        });
+    }
+    tcp::socket socket_;
+    const std::string text_;
+    std::string in_;
+    bool ended_ = false;
+    char piece_[4096];
+};
+
+TEST(Rubbish, SixtyMegabytesOfItAreRefusedInTime) {
+    const std::string much(60'000'000, 'x');
+    const std::string head = "POST /api HTTP/1.1\r\nHost: x\r\nX-Call-Id: c\r\nX-Call-Class: once\r\n";
+    for (const std::string& beginning :
+         {std::string(), head + "X-Long: ",
+          head + "X-Budget-Ms: 5000\r\nContent-Length: " + std::to_string(much.size()) + "\r\n\r\n",
+          head + "X-Budget-Ms: 5000\r\nTransfer-Encoding: chunked\r\n\r\n3938700\r\n"}) {
+        Stage s(1);
+        s.start();
+        const auto began = Steady::now();
+        Flood flood(s, beginning + much);
+        s.until([&] { return flood.refused_or_closed(); });
+        EXPECT_LT(Steady::now() - began, flood_limit) << beginning;
+        const auto client = s.client();  // others are served meanwhile
+        client->say(look());
+        s.request().first->say(ok());
+        EXPECT_EQ(status(s.answer(*client)), 200) << beginning;
+        EXPECT_EQ(s.connections(), 1U) << beginning;
+        s.host.reset();
+        s.loop.restart();
+        s.loop.poll();  // the flood's own handlers end before it does
+    }
+}
+}  // namespace
+
+}  // namespace flaxdoor::test
