--- a/review/standins/standins.h
+++ b/review/standins/standins.h
@@ -27,6 +27,7 @@
 #include <memory>
 #include <mutex>
 #include <optional>
+#include <random>
 #include <set>
 #include <string>
 #include <thread>
@@ -67,10 +68,37 @@
     std::fflush(file);
 }
 
-// Ends the test when it can't run. The balancers end with this process, see Balancer.
+// The processes that the test has started and that have not ended.
+class Children {
+public:
+    void add(pid_t pid) {
+        const std::lock_guard lock(mutex_);
+        pids_.insert(pid);
+    }
+    void remove(pid_t pid) {
+        const std::lock_guard lock(mutex_);
+        pids_.erase(pid);
+    }
+    void end_all() {
+        const std::lock_guard lock(mutex_);
+        for (const pid_t pid : pids_) {
+            ::kill(pid, SIGKILL);
+            ::waitpid(pid, nullptr, 0);
+        }
+        pids_.clear();
+    }
+
+private:
+    std::mutex mutex_;
+    std::set<pid_t> pids_;
+};
+inline Children children;
+
+// Ends the test when it can't run.
 [[noreturn]] inline void cannot_run(const std::string& why) {
     record("the case could not run: %s", why.c_str());
     std::printf("the case could not run: %s\n", why.c_str());
+    children.end_all();
     std::fflush(nullptr);
     ::_exit(2);
 }
@@ -78,6 +106,7 @@
 [[noreturn]] inline void finish(bool broken, const std::string& what) {
     record("%s: %s", broken ? "RULE BROKEN" : "rule held", what.c_str());
     std::printf("%s: %s\n", broken ? "RULE BROKEN" : "rule held", what.c_str());
+    children.end_all();
     std::fflush(nullptr);
     ::_exit(broken ? 1 : 0);
 }
@@ -428,7 +457,7 @@
     std::string discovery;
 };
 
-// One balancer, started with the deploy file's command. Ends with this process.
+// One balancer, started with the deploy file's command. It ends with this process, however that ends.
 class Balancer {
 public:
     explicit Balancer(BalancerOptions options) : options_(std::move(options)), port_(free_port()) {
@@ -436,8 +465,6 @@
         write_config();
         start();
     }
-    ~Balancer() { kill(); }
-
     int port() const { return port_; }
     pid_t pid() const { return pid_; }
 
@@ -485,6 +512,7 @@
         if (ended_) return true;
         int status = 0;
         if (::waitpid(pid_, &status, WNOHANG) != pid_) return false;
+        children.remove(pid_);
         record("balancer n%d has ended: %s %d", options_.rank, WIFSIGNALED(status) ? "signal" : "status",
                WIFSIGNALED(status) ? WTERMSIG(status) : WEXITSTATUS(status));
         return ended_ = true;
@@ -497,13 +525,6 @@
         return last;
     }
 
-    void kill() {
-        if (has_ended()) return;
-        ::kill(pid_, SIGKILL);
-        ::waitpid(pid_, nullptr, 0);
-        ended_ = true;
-    }
-
 private:
     std::string log_path() const {
         return setting("SCRATCH", "/tmp") + "/log" + std::to_string(options_.rank);
@@ -514,7 +535,7 @@
         const pid_t parent = ::getpid();
         pid_ = ::fork();
         if (pid_ < 0) cannot_run("no process");
-        if (pid_ > 0) return;
+        if (pid_ > 0) return children.add(pid_);
         ::prctl(PR_SET_PDEATHSIG, SIGKILL);
         if (::getppid() != parent) ::_exit(2);
         ::setenv("NODE_NAME", ("n" + std::to_string(options_.rank)).c_str(), 1);
@@ -543,22 +564,31 @@
     std::atomic<int> served{0}, refused{0}, failed{0}, lost{0}, foreign{0}, not_taken{0};
 };
 
-// A client with one kept connection that sends one request after another, each due `interval_ms` after the
-// last.
+// A client with one kept connection that sends one request after another: each is due `interval_ms` after the
+// last or, with `max_pause_ms`, after a random pause of up to that time from the answer to the last.
 class Client {
 public:
-    Client(std::string name, int port, std::string service, double interval_ms, Tally& tally)
+    Client(std::string name, int port, std::string service, double interval_ms, Tally& tally,
+           double max_pause_ms = 0)
         : name_(std::move(name)),
           port_(port),
           service_(std::move(service)),
           interval_ms_(interval_ms),
-          tally_(tally) {}
+          tally_(tally),
+          max_pause_ms_(max_pause_ms),
+          random_(std::hash<std::string>{}(name_)) {}
 
     void start() {
         thread_ = std::thread([this] {
             static std::atomic<int> started{0};
             sleep_ms(interval_ms_ * (started++ % 8) / 8);
-            for (double due = now_ms(); !stopped_; sleep_until_ms(due += interval_ms_)) call();
+            for (double due = now_ms(); !stopped_;) {
+                call();
+                due = max_pause_ms_ > 0
+                          ? now_ms() + std::uniform_real_distribution<>(0, max_pause_ms_)(random_)
+                          : due + interval_ms_;
+                sleep_until_ms(due);
+            }
         });
     }
     // Waits for the last answer.
@@ -624,23 +654,12 @@
     const std::string service_;
     const double interval_ms_;
     Tally& tally_;
+    const double max_pause_ms_;
+    std::mt19937 random_;
     ConnectionPtr connection_;
     std::thread thread_;
     int count_ = 0;
     std::atomic<bool> stopped_{false};
 };
 
-// The rule held if the balancer runs and every request that it has taken got its own answer.
-[[noreturn]] inline void judge_crash(Balancer& balancer, const Tally& tally) {
-    const bool ended = balancer.has_ended();
-    if (tally.served == 0) cannot_run("nothing was served");
-    if (ended) record("last line of the balancer's log: %s", balancer.last_log_line().c_str());
-    char text[300];
-    std::snprintf(text, sizeof text,
-                  "the balancer %s; %d served, %d refused, %d failed, %d lost, %d foreign, %d not taken",
-                  ended ? "has ended" : "runs", tally.served.load(), tally.refused.load(),
-                  tally.failed.load(), tally.lost.load(), tally.foreign.load(), tally.not_taken.load());
-    finish(ended || tally.lost > 0 || tally.foreign > 0, text);
-}
-
 }  // namespace standins
