--- a/review/3/test.cpp
+++ b/review/3/test.cpp
@@ -38,12 +38,12 @@
         discovery.set_crowded(true);
         discovery.reset_watches();
     }
-    sleep_until_ms(reset_at + 200);
+    sleep_until_ms(reset_at + 2000);  // STANDING, join+brink: "some seconds before"
     const double drain_at = now_ms();
     discovery.set_health(leaving, "leaving");
     sleep_until_ms(reset_at + crowded_ms);
     if (with_trouble()) discovery.set_crowded(false);
-    sleep_until_ms(reset_at + 15000);
+    sleep_until_ms(reset_at + 16000);
     for (const auto& client : clients) client->stop();
 
     const double last_send = drain_at + told_ms + grace_ms + slack_ms;
