Tests: put the running balancer process into a header of its own

A peer that sends without end stood in rubbish_test.cpp; PeerConnection can do that now, so that other tests share it.

--- a/tests/peers.h
+++ b/tests/peers.h
@@ -50,6 +50,13 @@
         boost::system::error_code ignored;
         asio::write(socket_, asio::buffer(text.data(), text.size()), ignored);
     }
+    // Sends the text as far as the peer takes it, while the loop runs. Nothing else may be sent after it.
+    void send_in_background(const std::shared_ptr<const std::string>& text) {
+        asio::async_write(socket_, asio::buffer(*text), [self = shared_from_this(), text](auto, auto) {});
+    }
+    void send_in_background(std::string text) {
+        send_in_background(std::make_shared<const std::string>(std::move(text)));
+    }
     // Returns how many of the sent bytes the peer's socket has not acknowledged yet.
     int undelivered_bytes() const {
         int bytes = 0;
@@ -300,4 +307,15 @@
     return response.size() < 12 ? 0 : std::stoi(std::string(response.substr(9, 3)));
 }
 
+// Returns whether the host has answered with an error or ended the connection.
+inline bool refused_or_closed(const PeerConnection& connection) {
+    return connection.peer_closed || status_code(connection.received) >= 400;
+}
+// Returns the text as often in a row as it takes to reach this size.
+inline std::string repeat(std::string_view text, std::size_t total_bytes) {
+    std::string repeated;
+    while (repeated.size() < total_bytes) repeated += text;
+    return repeated;
+}
+
 }  // namespace flaxdoor::test
--- a/tests/rubbish_test.cpp
+++ b/tests/rubbish_test.cpp
@@ -50,10 +50,6 @@
     };
 }
 
-bool refused_or_closed(const PeerConnection& connection) {
-    return connection.peer_closed || status_code(connection.received) >= 400;
-}
-
 // One of the peers keeps sending a byte at a time until it is disconnected.
 TEST(InvalidInput, GetsAnErrorOrACloseInTimeAndReachesNoUpstream) {
     HostHarness s;
@@ -99,31 +95,6 @@
     EXPECT_GE(status_code(client->received), 400);
 }
 
-// A peer that keeps sending whatever response it gets.
-class Flood {
-public:
-    Flood(HostHarness& s, std::string text) : socket_(s.loop), text_(std::move(text)) {
-        socket_.connect(s.host->address());
-        asio::async_write(socket_, asio::buffer(text_), [](auto, std::size_t) {});
-        read();
-    }
-    bool refused_or_closed() const { return ended_ || status_code(in_) >= 400; }
-
-private:
-    void read() {
-        socket_.async_read_some(asio::buffer(read_buffer_), [this](auto error, std::size_t size) {
-            in_.append(read_buffer_, size);
-            ended_ = static_cast<bool>(error);
-            if (!error) read();
-        });
-    }
-    tcp::socket socket_;
-    const std::string text_;
-    std::string in_;
-    bool ended_ = false;
-    char read_buffer_[4096];
-};
-
 TEST(InvalidInput, SixtyMegabytesAreRejectedInTime) {
     const std::string payload(60'000'000, 'x');
     const std::string head = "POST /api HTTP/1.1\r\nHost: x\r\nX-Call-Id: c\r\nX-Call-Class: once\r\n";
@@ -134,17 +105,15 @@
         HostHarness s(1);
         s.start();
         const auto began = Steady::now();
-        Flood flood(s, beginning + payload);
-        s.run_until([&] { return flood.refused_or_closed(); });
+        const auto flood = s.connect_client();
+        flood->send_in_background(beginning + payload);
+        s.run_until([&] { return refused_or_closed(*flood); });
         EXPECT_LT(Steady::now() - began, flood_reject_within) << beginning;
         const auto client = s.connect_client();  // other clients are served meanwhile
         client->send(idempotent_request());
         s.await_request().first->send(ok_response());
         EXPECT_EQ(status_code(s.await_response(*client)), 200) << beginning;
         EXPECT_EQ(s.upstream_connection_count(), 1U) << beginning;
-        s.host.reset();
-        s.loop.restart();
-        s.loop.poll();  // runs the handlers that refer to `flood` before it is destroyed
     }
 }
 }  // namespace
--- a/tests/standing_terms_test.cpp
+++ b/tests/standing_terms_test.cpp
@@ -1,18 +1,13 @@
 // Requirements of the operators on a running balancer that no other test file covers. Sockets are on
 // loopback; the last section tests the decision module alone.
 #include <gtest/gtest.h>
-#include <spawn.h>
-#include <stdlib.h>
-#include <sys/wait.h>
-#include <unistd.h>
 
 #include <algorithm>
-#include <boost/asio/posix/stream_descriptor.hpp>
 #include <csignal>
 #include <filesystem>
-#include <fstream>
 #include <map>
 
+#include "balancer_process.h"
 #include "discovery_peers.h"
 #include "net/upstreams.h"
 #include "peers.h"
@@ -180,80 +175,6 @@
 
 // --------------------------------------------------------------------------------------- a running program
 
-// Runs the balancer program as a child process, which is killed when this object is destroyed.
-class BalancerProcess {
-public:
-    explicit BalancerProcess(HostHarness& s) : stage_(s), stderr_(s.loop) {
-        std::string directory = testing::TempDir() + "flaxdoor-XXXXXX";
-        if (!::mkdtemp(directory.data())) throw std::runtime_error("could not create a temporary directory");
-        directory_ = directory;
-        write_config(s.config.dump());
-        spawn();
-        read();
-    }
-    ~BalancerProcess() {
-        if (pid_ > 0) {
-            ::kill(pid_, SIGKILL);
-            ::waitpid(pid_, nullptr, 0);
-        }
-        stderr_.close();
-        std::filesystem::remove_all(directory_);
-    }
-
-    std::filesystem::path config_path() const { return directory_ / "config.json"; }
-    void write_config(const std::string& text) { std::ofstream(config_path(), std::ios::binary) << text; }
-    void signal(int number) { ::kill(pid_, number); }
-    // Waits for a line on standard error that begins with this text, behind those found by earlier calls.
-    void expect_line(const std::string& prefix) {
-        std::size_t at = std::string::npos;
-        stage_.run_until([&] {
-            at = ("\n" + stderr_text_).find("\n" + prefix, search_from_);
-            return at != std::string::npos && stderr_text_.find('\n', at) != std::string::npos;
-        });
-        if (at != std::string::npos) search_from_ = stderr_text_.find('\n', at);
-    }
-    bool is_running() const { return ::waitpid(pid_, nullptr, WNOHANG) == 0; }
-    int exit_status() {
-        int wait_status = 0;
-        ::waitpid(pid_, &wait_status, 0);
-        pid_ = 0;
-        return WIFEXITED(wait_status) ? WEXITSTATUS(wait_status) : -1;
-    }
-
-private:
-    void spawn() {
-        int pipe_ends[2];
-        if (::pipe(pipe_ends) != 0) throw std::runtime_error("could not create a pipe");
-        posix_spawn_file_actions_t actions;
-        posix_spawn_file_actions_init(&actions);
-        posix_spawn_file_actions_adddup2(&actions, pipe_ends[1], STDERR_FILENO);
-        posix_spawn_file_actions_addclose(&actions, pipe_ends[0]);
-        std::string path = FLAXDOOR_BALANCER;
-        std::string configuration = "NODE_CONFIG=" + config_path().string();
-        char* const arguments[] = {path.data(), nullptr};
-        char* const environment[] = {configuration.data(), nullptr};
-        const int error = ::posix_spawn(&pid_, path.c_str(), &actions, nullptr, arguments, environment);
-        posix_spawn_file_actions_destroy(&actions);
-        ::close(pipe_ends[1]);
-        stderr_.assign(pipe_ends[0]);
-        if (error != 0) throw std::runtime_error("could not start the program");
-    }
-    void read() {
-        stderr_.async_read_some(asio::buffer(read_buffer_), [this](auto error, std::size_t got) {
-            stderr_text_.append(read_buffer_, got);
-            if (!error) read();
-        });
-    }
-
-    HostHarness& stage_;
-    asio::posix::stream_descriptor stderr_;
-    std::filesystem::path directory_;
-    pid_t pid_ = 0;
-    std::string stderr_text_;
-    std::size_t search_from_ = 0;
-    char read_buffer_[4096];
-};
-
 // A configuration file that can't be read or parsed is reported. The program keeps its configuration, keeps
 // calling discovery at the known address, and applies the next valid file.
 TEST(Reload, AnInvalidConfigurationLeavesThePreviousOneInForce) {
