Bound what frames a message's body: one 70 kB trailer ended the balancer

Cause: Beast bounds header and body only. Chunk extensions and trailers stay in the buffer until they end, trailer fields go into the header without a limit, and one of over 65,533 bytes throws std::length_error out of put(), which reports its errors by argument otherwise. At fault were clients.cpp (process_input), upstreams.cpp (on_read) and discovery_call.cpp (on_read), each with the parser by itself. Ruled out: the size of the body (4 bytes in the case) and the host's own buffering, which is bounded behind a waiting request.

Change: MessageParser, used by all three, offers Beast 16 KiB at once, takes 256 header fields and 1 MiB for a message, and drops trailer fields. A catch alone would have left the memory.

--- a/src/net/clients.cpp
+++ b/src/net/clients.cpp
@@ -4,6 +4,8 @@
 #include <boost/asio/ip/v6_only.hpp>
 #include <charconv>
 
+#include "net/message_parser.h"
+
 namespace flaxdoor::net {
 
 namespace {
@@ -77,6 +79,13 @@
     return message.target().substr(0, message.target().find('?'));
 }
 
+// Returns the status that answers a request which can't be parsed.
+http::status status_for(error_code error) {
+    if (error == http::error::body_limit) return http::status::payload_too_large;
+    if (error == http::error::header_limit) return http::status::request_header_fields_too_large;
+    return http::status::bad_request;
+}
+
 HttpResponse plain_response(http::status status) {
     HttpResponse response(status, 11);
     response.set(http::field::content_type, "text/plain");
@@ -192,9 +201,6 @@
 
     void prepare_to_read_request() {
         parser_.emplace();
-        parser_->header_limit(max_header_bytes);
-        parser_->body_limit(max_body_bytes);
-        parser_->eager(true);
         continue_sent_ = false;
         set_state(State::reading);
     }
@@ -238,12 +244,11 @@
         if (state_ != State::reading || buffer_.size() == 0) return;
         if (!parser_->got_some()) state_since_ = owner_.clock_.now();
         error_code error;
-        buffer_.consume(parser_->put(buffer_.data(), error));
+        parser_->parse(buffer_, error);
         if (error && error != http::error::need_more) {
             // The end of this request is unknown, so the connection closes after the response.
             keep_alive_ = false;
-            const bool large = error == http::error::body_limit;
-            respond(plain_response(large ? http::status::payload_too_large : http::status::bad_request));
+            respond(plain_response(status_for(error)));
         } else if (parser_->is_done()) {
             dispatch(parser_->release());
         } else if (parser_->is_header_done() && !continue_sent_ &&
@@ -329,7 +334,7 @@
     Clients& owner_;
     tcp::socket socket_;
     beast::flat_buffer buffer_;
-    std::optional<http::request_parser<http::string_body>> parser_;
+    std::optional<RequestParser> parser_;
     std::string response_bytes_;
     std::size_t written_bytes_ = 0;
     RequestId request_id_ = 0;
--- a/src/net/discovery_call.cpp
+++ b/src/net/discovery_call.cpp
@@ -48,11 +48,7 @@
       socket_(loop),
       check_socket_(loop),
       checks_left_(max_checks),
-      timer_(loop) {
-    parser_.header_limit(max_header_bytes);
-    parser_.body_limit(boost::none);  // the body of a watch has no end; `max_object_bytes` limits its objects
-    parser_.eager(true);
-}
+      timer_(loop) {}
 
 void DiscoveryCall::start(const tcp::endpoint& address) {
     address_ = address;
@@ -170,7 +166,7 @@
 
 void DiscoveryCall::on_read(error_code read_error) {
     error_code error;
-    if (read_buffer_.size() > 0) read_buffer_.consume(parser_.put(read_buffer_.data(), error));
+    parser_.parse(read_buffer_, error);
     if (error && error != http::error::need_more) return fail(CallError::malformed_response);
     if (read_error == asio::error::eof && parser_.got_some() && !parser_.is_done()) parser_.put_eof(error);
     if (parser_.is_header_done()) {
--- a/src/net/discovery_call.h
+++ b/src/net/discovery_call.h
@@ -15,6 +15,7 @@
 #include "flaxdoor/decide.h"
 #include "net/call_failures.h"
 #include "net/http.h"
+#include "net/message_parser.h"
 
 namespace flaxdoor::net {
 
@@ -108,7 +109,7 @@
     asio::steady_timer timer_;
     std::string request_bytes_;
     beast::flat_buffer read_buffer_;
-    http::response_parser<http::string_body> parser_;
+    ResponseParser parser_{MessageLength::unlimited};  // `max_object_bytes` limits the objects of the body
     std::string body_;            // received text of the response body that is not yet delivered
     std::size_t line_start_ = 0;  // offset in `body_` of the first incomplete line
     int open_brackets_ = 0;       // brackets opened less closed in the complete lines of the pending object
--- a/src/net/upstreams.cpp
+++ b/src/net/upstreams.cpp
@@ -7,6 +7,8 @@
 #include <cstdio>
 #include <utility>
 
+#include "net/message_parser.h"
+
 namespace flaxdoor::net {
 
 namespace {
@@ -140,7 +142,7 @@
         started_at_ = owner_.clock_.now();
         deadline_ = deadline;
         send_by_ = std::min(send_by, deadline);
-        reset_parser();
+        parser_.emplace();
     }
 
     // Called only once the connection is established, so that X-Budget-Ms holds the time left from then on.
@@ -155,13 +157,6 @@
         request_ = {};
     }
 
-    void reset_parser() {
-        parser_.emplace();
-        parser_->header_limit(max_header_bytes);
-        parser_->body_limit(max_body_bytes);
-        parser_->eager(true);
-    }
-
     void arm_timer(Time at) {
         timer_.expires_at(owner_.clock_.steady(at));
         timer_.async_wait([self = shared_from_this()](error_code error) {
@@ -216,11 +211,11 @@
         }
         error_code error;
         while (buffer_.size() > 0) {
-            buffer_.consume(parser_->put(buffer_.data(), error));
+            parser_->parse(buffer_, error);
             if (error || !parser_->is_done() || parser_->get().result_int() >= 200) break;
             // No request asks for an upgrade: what follows could not be parsed.
             if (parser_->get().result() == http::status::switching_protocols) return on_malformed_response();
-            reset_parser();  // interim response; the final one follows
+            parser_.emplace();  // interim response; the final one follows
         }
         if (error && error != http::error::need_more) return on_malformed_response();
         if (read_error == asio::error::eof && parser_->got_some() && !parser_->is_done()) {
@@ -290,7 +285,7 @@
     tcp::socket socket_;
     asio::steady_timer timer_;
     beast::flat_buffer buffer_;
-    std::optional<http::response_parser<http::string_body>> parser_;
+    std::optional<ResponseParser> parser_;
     std::optional<AttemptKey> attempt_;
     HttpRequest request_;  // until it is serialized
     std::string request_bytes_;
