Close a client that stops in a further request within 3 s, as in its first

Found by reading in the review.

Cause: clients.cpp (is_overdue) had only the limit of 10 s from the first byte to the last, which is that long for clients that write slowly, and nothing told those from clients that have stopped.

Change: a partial request of which nothing has come for 2.3 s ends its connection; unread input counts as progress.

Evidence: AClientThatStopsInAFurtherRequestIsClosedInTime failed before (four clients, 10.002 s each) and passes (2.5 s); AClientThatWritesAFurtherRequestSlowlyIsServed passes before and after. All ten of client_limits_test pass.

--- a/src/net/clients.cpp
+++ b/src/net/clients.cpp
@@ -16,18 +16,19 @@
 // An idle connection must be left open for 2 s. The client counts them from the arrival of the response, a
 // little later than this side does; hence the margin of 50 ms.
 constexpr Micros min_idle_before_close = milliseconds(2050);
-// A peer that sends no request must get an error or a close within 3 s of connecting. These three add up to
-// less: the wait in the backlog at the connection limit, the time allowed for the first complete request, and
-// the interval between two sweeps.
+// A peer that sends no request must get an error or a close within 3 s of connecting, and one that stops in
+// the middle of a further request within 3 s of stopping. These three add up to less: the wait in the backlog
+// at the connection limit, the time allowed for the first complete request or without further input of a
+// later one, and the interval between two sweeps.
 constexpr Micros backlog_timeout = milliseconds(250);
-constexpr Micros first_request_timeout = milliseconds(2300);
+constexpr Micros incomplete_request_timeout = milliseconds(2300);
 constexpr auto sweep_interval = milliseconds(250);
 // Interval of the checks whether a connection in the backlog can be accepted, and delay after an accept that
 // failed for lack of descriptors.
 constexpr auto accept_retry_delay = milliseconds(20);
 // The first request of a new connection most likely arrives within this time.
 constexpr Micros new_connection_time = milliseconds(100);
-constexpr Micros request_timeout = seconds(10);   // from a request's first byte to its last
+constexpr Micros request_timeout = seconds(10);   // from a later request's first byte to its last
 constexpr Micros response_timeout = seconds(10);  // for the client to read a response, and to close after one
 constexpr Micros idle_timeout = seconds(300);     // between requests
 constexpr std::uint64_t max_budget_ms = 60 * 1000;  // largest valid X-Budget-Ms; no client waits longer
@@ -151,8 +152,8 @@
         switch (state_) {
             case State::reading:
                 // Bounds how long a peer can hold a connection without ever sending a request.
-                if (!has_received_request_) return now - opened_at_ > first_request_timeout;
-                if (has_partial_request()) return now - state_since_ > request_timeout;
+                if (!has_received_request_) return now - opened_at_ > incomplete_request_timeout;
+                if (has_partial_request()) return has_stalled(now) || now - state_since_ > request_timeout;
                 // A request that has arrived and is about to be read must not be lost.
                 return now - state_since_ > idle_timeout && no_input_pending(socket_);
             case State::waiting: return false;
@@ -187,6 +188,12 @@
 private:
     bool has_partial_request() const { return buffer_.size() > 0 || parser_->got_some(); }
 
+    // Returns whether the client has stopped in the middle of a request.
+    bool has_stalled(Time now) {
+        const Time last_progress_at = std::max(last_input_at_, state_since_);
+        return now - last_progress_at > incomplete_request_timeout && no_input_pending(socket_);
+    }
+
     // Returns whether the connection closes after this response. During the shutdown a further request that
     // has already arrived keeps it open for its own response, so that the request is not lost.
     bool closes_after_response() {
@@ -215,6 +222,7 @@
                 self->on_disconnect();
                 return;
             }
+            self->last_input_at_ = self->owner_.clock_.now();
             self->process_input();
             self->limit_buffered_input();
             if (!self->closed_) self->read();
@@ -339,6 +347,7 @@
     std::size_t written_bytes_ = 0;
     RequestId request_id_ = 0;
     Time state_since_{};  // when the state was entered, or the first byte of the request read
+    Time last_input_at_{};
     State state_ = State::reading;
     const Time opened_at_ = owner_.clock_.now();
     bool has_received_request_ = false;  // a complete request has been received
--- a/tests/client_limits_test.cpp
+++ b/tests/client_limits_test.cpp
@@ -254,6 +254,49 @@
     EXPECT_TRUE(none_closed(idle));
 }
 
+// Guards against a client that holds a used connection by stopping in the middle of a further request: it is
+// owed an error or a close as early as one that stops in its first request.
+TEST(ClientLimits, AClientThatStopsInAFurtherRequestIsClosedInTime) {
+    HostHarness s(1);
+    s.start();
+    const std::string request = at_most_once_request();
+    const std::string parts[] = {request.substr(0, 1), request.substr(0, request.find("\r\n\r\n") + 2),
+                                 request.substr(0, request.size() - 1)};
+    const Connections stopped = idle_clients(s, std::size(parts) + 1);
+    for (std::size_t i = 0; i < std::size(parts); ++i) stopped[i]->send(parts[i]);
+    // The last one has sent the part behind a whole request, before the response to that.
+    const auto pipelining = stopped.back();
+    pipelining->send(idempotent_request() + parts[1]);
+    s.await_request().first->send(ok_response());
+    EXPECT_EQ(status_code(s.await_response(*pipelining)), 200);
+    const auto stopped_at = Steady::now();
+    s.run_until([&] { return all_closed(stopped); });
+    for (const auto& client : stopped) EXPECT_LT(client->peer_closed_at - stopped_at, peer_response_time);
+    EXPECT_TRUE(s.no_unread_requests());
+}
+
+// A client that writes slowly has not stopped, whatever the time that a whole request takes it.
+TEST(ClientLimits, AClientThatWritesAFurtherRequestSlowlyIsServed) {
+    constexpr int parts = 5;
+    HostHarness s(1);
+    s.start();
+    const auto client = idle_clients(s, 1).front();
+    const std::string request = at_most_once_request();
+    const auto began = Steady::now();
+    asio::steady_timer next_part(s.loop);
+    for (std::size_t i = 0; i < parts; ++i) {
+        const std::size_t begin = i * request.size() / parts, end = (i + 1) * request.size() / parts;
+        client->send(std::string_view(request).substr(begin, end - begin));
+        bool due = false;
+        next_part.expires_after(std::chrono::seconds(1));
+        next_part.async_wait([&](auto) { due = true; });
+        s.run_until([&] { return due; });
+    }
+    EXPECT_GT(Steady::now() - began, peer_response_time);
+    s.await_request().first->send(ok_response());
+    EXPECT_EQ(status_code(s.await_response(*client)), 200);
+}
+
 // Guards against losing a request that arrives on a connection idle for longer than the request timeout: the
 // sweep for overdue connections runs after the request has arrived and before it is read. The loop is blocked
 // for longer than the sweep interval, so that the sweep and the request fall into one run of the loop, in
