End the use of a list 6 s after its watch was lost, whatever calls fail

Cause: backoff_after_timeout() and backoff_after_failure() in list_subscription.cpp took such a call for proof that discovery could not be reached, and moved told time to 6 s after it, each time anew. A 503 is an answer. Ruled out: calls too seldom (a drain 0.2 s after the reset is over before any call after the crowd).

Change: told time counts from the loss of the watch. Only a call that gets no connection moves it, from its start, after a reset, and only while no call since has got one.

--- a/src/policy/list_subscription.cpp
+++ b/src/policy/list_subscription.cpp
@@ -45,8 +45,7 @@
 constexpr Micros response_allowance = milliseconds(300);
 constexpr Micros rejection_allowance = milliseconds(200);
 
-// Back-off after calls that time out in an outage. The list stays usable over two calls of 2 s and one such
-// back-off.
+// Back-off after calls that time out in an outage.
 constexpr Micros first_outage_backoff = milliseconds(500);
 constexpr Micros base_outage_backoff = milliseconds(2350);
 // Time from the start of one call to that of the next: the back-off and the 2 s after which a call times out.
@@ -55,15 +54,13 @@
 constexpr Micros overload_latency = milliseconds(150);
 // Number of calls after which those of the fleet are spread over one `outage_call_period`.
 constexpr int calls_until_spread = 4;
-// In a long outage the back-off grows in proportion to the time that has passed: to one part in 80 while the
-// list is usable, to one in 4 after that.
-constexpr int usable_backoff_divisor = 80;
-constexpr int expired_backoff_divisor = 4;
-// Upper bound of the back-off while the list is not usable, as a multiple of `ask_within`.
+// In a long outage the back-off grows in proportion to the time that has passed: to one part in 80 where
+// discovery has answered this process, so that service resumes soon after its return; to one in 4 where it
+// never has, as the calls of restarted processes may be what overloads it.
+constexpr int confirmed_backoff_divisor = 80;
+constexpr int unconfirmed_backoff_divisor = 4;
+// Upper bound of the back-off where discovery never answered this process, as a multiple of `ask_within`.
 constexpr int max_backoff_multiple = 6;
-// Calls that time out extend the use of a list that discovery never confirmed to this process by no more than
-// this, counted from the start of the process.
-constexpr Micros max_unconfirmed_extension = 2 * max_notification_delay;
 
 // When the fleet repeats calls that timed out at an overloaded discovery: the start of a round of calls and
 // the time over which the round is spread, as shares of `ask_within` after the end of the subscription.
@@ -116,15 +113,18 @@
     call_position_ = (settings_.rank + 0.5) / settings_.balancers;
     if (kind == ListKind::moved) {
         discovery_up_at_loss_ |= was_subscribed;
+        unreachable_since_loss_ = false;
         on_subscription_lost(now, now + notification_delay_after_move, now + notification_delay_after_move);
     } else if (was_subscribed && kind == ListKind::silent) {
         discovery_up_at_loss_ = true;
+        unreachable_since_loss_ = false;
         // Balancers detect the silence at different times, so their calls have no common start.
         call_position_ = random_.unit();
         on_subscription_lost(now, now - watch_idle_timeout + max_notification_delay,
                              now - watch_idle_timeout + max_notification_delay);
     } else if (was_subscribed) {
         discovery_up_at_loss_ = kind == ListKind::closed;
+        unreachable_since_loss_ = !discovery_up_at_loss_;
         on_subscription_lost(now, now + notification_delay_after_end, now + max_notification_delay);
     } else {
         next_call_at_ = now + backoff_after_failure(now, kind);
@@ -163,33 +163,42 @@
 }
 
 Micros ListSubscription::backoff_after_failure(Time now, ListKind kind) {
+    if (kind == ListKind::unreachable) return backoff_without_connection(now);
+    unreachable_since_loss_ = false;
     const bool may_be_rejection = kind == ListKind::failed || kind == ListKind::closed;
-    if (may_be_rejection && now - called_at_ < max_rejection_time) return backoff_after_rejection(now);
+    const bool rejected = may_be_rejection && now - called_at_ < max_rejection_time;
+    // A call that is made in time after a reset may time out too late. It has failed all the same.
+    const bool postpones = !counts_as_notified(now) || (!rejected && !discovery_up_at_loss_);
+    if (postpones) postpone_notification(notified_at_);
+    return rejected ? backoff_after_rejection() : backoff_after_timeout(now);
+}
+
+// Discovery could not be reached when the call started. If it may have been so ever since the subscription
+// ended, it cannot have had a change and been reached before that.
+Micros ListSubscription::backoff_without_connection(Time now) {
     ++timed_out_calls_;
-    if (kind != ListKind::unreachable) return backoff_after_timeout(now);
+    if (unreachable_since_loss_) {
+        postpone_notification(called_at_ + max_notification_delay);
+    } else if (!counts_as_notified(now)) {
+        postpone_notification(notified_at_);
+    }
     discovery_up_at_loss_ = false;
     lost_at_ = now;
-    postpone_notification(now + max_notification_delay);
     return outage_backoff(now);
 }
 
-Micros ListSubscription::backoff_after_rejection(Time now) {
+Micros ListSubscription::backoff_after_rejection() {
     discovery_rejects_calls_ = true;
-    // Once missed changes count as notified, a rejection postpones nothing.
-    if (now <= usable_until_ - usable_margin_) postpone_notification(notified_at_);
     rejection_backoff_ = std::clamp(2 * rejection_backoff_, min_rejection_backoff, max_rejection_backoff);
     return rejection_backoff_ / 2 + micros(random_.unit() * us(rejection_backoff_));
 }
 
-// If discovery was up and has never rejected a call immediately, a call that times out is no proof of an
-// outage: discovery may be overloaded by the fleet's own calls. Otherwise a time-out proves that discovery
-// could not be reached when the call started, because it would have responded.
+// If discovery was up and has never rejected a call immediately, it may be overloaded by the fleet's own
+// calls. Otherwise an outage is more likely.
 Micros ListSubscription::backoff_after_timeout(Time now) {
-    if (discovery_up_at_loss_ && !discovery_rejects_calls_) return overload_backoff(now);
-    const Time proven_until = called_at_ + max_notification_delay;
-    postpone_notification(list_confirmed_ ? proven_until
-                                          : std::min(proven_until, lost_at_ + max_unconfirmed_extension));
-    return outage_backoff(now);
+    ++timed_out_calls_;
+    const bool may_be_overloaded = discovery_up_at_loss_ && !discovery_rejects_calls_;
+    return may_be_overloaded ? overload_backoff(now) : outage_backoff(now);
 }
 
 // An overloaded discovery also processes queued calls that have already timed out. The fleet's next round of
@@ -207,13 +216,12 @@
 
 // Spaces the fleet's calls by balancer, so that they do not overload discovery once it is reachable again.
 Micros ListSubscription::outage_backoff(Time now) const {
-    const bool usable = now < usable_until_;
-    const Micros max_backoff = std::max(
-        base_outage_backoff, (now - lost_at_) / (usable ? usable_backoff_divisor : expired_backoff_divisor));
+    const int divisor = list_confirmed_ ? confirmed_backoff_divisor : unconfirmed_backoff_divisor;
+    const Micros max_backoff = std::max(base_outage_backoff, (now - lost_at_) / divisor);
     Micros min_backoff = timed_out_calls_ == 1 ? first_outage_backoff : min_outage_backoff();
     if (timed_out_calls_ > calls_until_spread) min_backoff = max_backoff;
     return std::min(min_backoff + micros(call_position_ * us(max_backoff - min_backoff)),
-                    (usable ? 1 : max_backoff_multiple) * settings_.ask_within);
+                    (list_confirmed_ ? 1 : max_backoff_multiple) * settings_.ask_within);
 }
 
 // Returns the back-off of the first balancer in the order. The first call, the back-off after it and the
@@ -223,6 +231,9 @@
     return base_outage_backoff - (outage_call_period - spread_by_first_calls) / (calls_until_spread - 1);
 }
 
+// Returns whether missed changes already count as notified.
+bool ListSubscription::counts_as_notified(Time now) const { return now > usable_until_ - usable_margin_; }
+
 // Postpones the time at which missed changes count as notified to `notified_at` or later.
 void ListSubscription::postpone_notification(Time notified_at) {
     notified_at_ = std::max(notified_at_, notified_at);
--- a/src/policy/list_subscription.h
+++ b/src/policy/list_subscription.h
@@ -6,6 +6,18 @@
 // no connection is established. By the operators' terms a balancer counts as notified of a change a fixed
 // time after its subscription ended, whether it received the change or not. From then on any upstream of the
 // current list may be draining, and none is sent new work.
+//
+// How a subscription ended sets when missed changes count as notified:
+//   closed in order  2 s later, or 6 s later if a call has failed by then
+//   reset            the same, and the 6 s start anew with each call that gets no connection, up to the first
+//                    call that gets one
+//   silent           6 s after the last message, whatever the calls since have shown
+//   moved            4 s later, whatever the calls since have shown
+// A process that has had no subscription yet is treated as after a reset at its start.
+//
+// A call that gets a connection and then fails, by an error at once, after a wait, or by having no answer,
+// postpones nothing: a crowded discovery fails calls in the same ways as one that is down, and it can be
+// reached.
 #pragma once
 
 #include "flaxdoor/decide.h"
@@ -46,10 +58,12 @@
     Micros reset_call_spread() const;
     Micros min_outage_backoff() const;
     Micros backoff_after_failure(Time now, ListKind kind);
-    Micros backoff_after_rejection(Time now);
+    Micros backoff_without_connection(Time now);
+    Micros backoff_after_rejection();
     Micros backoff_after_timeout(Time now);
     Micros overload_backoff(Time now) const;
     Micros outage_backoff(Time now) const;
+    bool counts_as_notified(Time now) const;
     void postpone_notification(Time notified_at);
     Micros call_spread() const;
 
@@ -60,6 +74,7 @@
     bool subscribed_ = false;
     bool list_confirmed_ = false;           // discovery has sent a list to this process
     bool discovery_up_at_loss_ = false;     // discovery was up when the last subscription ended
+    bool unreachable_since_loss_ = true;    // by a reset, and no call since has got a connection
     bool discovery_rejects_calls_ = false;  // discovery has immediately rejected a call of this process
     double call_position_ = 0;  // position of this balancer in the order of the fleet's calls, 0 to 1
     int timed_out_calls_ = 0;   // calls since the last subscription ended that timed out or got no connection
@@ -67,7 +82,7 @@
     Time called_at_{};  // start of the last call
     Time recovery_call_at_{};  // start of the call that ended an outage while discovery was overloaded
     Time next_call_at_{};
-    // Time at which missed changes count as notified if a failed call has postponed it.
+    // Time at which missed changes count as notified at the latest.
     Time notified_at_ = Time::max();
     Time usable_until_ = Time::max();
     Micros rejection_backoff_{};  // last back-off after a rejected call; 0: none since the last list
