Move the reading of a client's request out of the client connections

Upstreams::Connection::on_read parsed and decided in one function; the parsing is parse_input().

No behaviour changed: the moved functions are as they were.

--- a/src/net/clients.h
+++ b/src/net/clients.h
@@ -1,5 +1,5 @@
-// The client side: listens, answers readiness checks, parses requests, sends one response to each, and
-// detects that a client has disconnected.
+// The client side: listens, answers readiness checks, reads requests, sends one response to each, and detects
+// that a client has disconnected.
 #pragma once
 
 #include <boost/asio/io_context.hpp>
@@ -12,19 +12,12 @@
 #include <unordered_map>
 
 #include "flaxdoor/decide.h"
+#include "net/client_request.h"
 #include "net/clock.h"
 #include "net/http.h"
 
 namespace flaxdoor::net {
 
-// A valid request. The deadline in `policy_request` is not set; `budget` is the time that the client still
-// waits.
-struct ClientRequest {
-    Request policy_request;
-    Micros budget{};
-    HttpRequest message;
-};
-
 // Receives the events of Clients.
 class ClientEvents {
 public:
@@ -96,8 +89,4 @@
     bool draining_ = false;
 };
 
-// Returns the request with its headers parsed for the policy, or nothing when a required header is missing,
-// repeated or invalid, or the method doesn't match the effect of the class.
-std::optional<ClientRequest> parse_client_request(HttpRequest message, const Settings& settings);
-
 }  // namespace flaxdoor::net
--- a/src/net/upstreams.cpp
+++ b/src/net/upstreams.cpp
@@ -204,20 +204,25 @@
         return begins_response({static_cast<const char*>(bytes.data()), bytes.size()});
     }
 
-    void on_read(error_code read_error) {
-        if (!attempt_) {  // idle: the upstream has closed the connection or sent unsolicited bytes
-            owner_.pool_.discard(shared_from_this(), owner_.clock_.now());
-            return;
-        }
+    // Parses the input up to the end of the final response. Returns false where it is malformed.
+    bool parse_input() {
         error_code error;
         while (buffer_.size() > 0) {
             parser_->parse(buffer_, error);
             if (error || !parser_->is_done() || parser_->get().result_int() >= 200) break;
             // No request asks for an upgrade: what follows could not be parsed.
-            if (parser_->get().result() == http::status::switching_protocols) return on_malformed_response();
+            if (parser_->get().result() == http::status::switching_protocols) return false;
             parser_.emplace();  // interim response; the final one follows
         }
-        if (error && error != http::error::need_more) return on_malformed_response();
+        return !error || error == http::error::need_more;
+    }
+
+    void on_read(error_code read_error) {
+        if (!attempt_) {  // idle: the upstream has closed the connection or sent unsolicited bytes
+            owner_.pool_.discard(shared_from_this(), owner_.clock_.now());
+            return;
+        }
+        if (!parse_input()) return on_malformed_response();
         if (read_error == asio::error::eof && parser_->got_some() && !parser_->is_done()) {
             error_code eof_error;
             parser_->put_eof(eof_error);
