Take a lack of descriptors for no sign that discovery is unreachable

With no descriptor left a balancer reported discovery as unreachable, and so would have used its list on while drains were told.

Cause: discovery_call.cpp (start) made every error of a connect connect_failed, also those of this machine.

Change: no descriptor, buffer, memory or port is local_failure, reported as a failed call that proves nothing.

Evidence: Discovery.ALackOfDescriptorsIsNoSignThatDiscoveryIsUnreachable failed before (reported unreachable) and passes. LoweredDescriptorLimit moved to a header, as it was, for that test.

--- a/src/net/call_failures.cpp
+++ b/src/net/call_failures.cpp
@@ -18,6 +18,7 @@
 std::string_view description_of(CallError error) {
     switch (error) {
         case CallError::connect_failed: return "connect failed";
+        case CallError::local_failure: return "no connection could be opened";
         case CallError::connect_timeout: return "connect timeout";
         case CallError::read_timeout: return "read timeout";
         case CallError::reachability_check_failed: return "reachability check failed";
--- a/src/net/call_failures.h
+++ b/src/net/call_failures.h
@@ -16,6 +16,7 @@
 // Why a discovery call failed.
 enum class CallError {
     connect_failed,             // the connection was refused, or connecting failed otherwise
+    local_failure,              // this process or system lacks what a connection takes, such as a descriptor
     connect_timeout,            // the connection was not established in time
     read_timeout,               // connected, but nothing was received for too long
     reachability_check_failed,  // connected, but nothing was received, and a reachability check failed
--- a/src/net/discovery_call.cpp
+++ b/src/net/discovery_call.cpp
@@ -2,6 +2,7 @@
 
 #include <poll.h>
 
+#include <boost/system/errc.hpp>
 #include <utility>
 
 namespace flaxdoor::net {
@@ -31,6 +32,14 @@
     return balance;
 }
 
+// Returns whether a connection failed for lack of something on this side, which says nothing about discovery.
+bool is_local_failure(error_code error) {
+    return error == asio::error::no_descriptors ||
+           error == boost::system::errc::too_many_files_open_in_system ||
+           error == asio::error::no_buffer_space || error == asio::error::no_memory ||
+           error == asio::error::address_in_use || error == boost::system::errc::address_not_available;
+}
+
 // Returns whether the connection attempt has succeeded or failed, even if the loop has not yet run its
 // handler.
 bool connect_finished(tcp::socket& connecting) {
@@ -55,7 +64,8 @@
     record_activity();
     socket_.async_connect(address, [self = shared_from_this()](error_code error) {
         if (self->finished_) return;
-        if (error) return self->fail(CallError::connect_failed);
+        if (error)
+            return self->fail(is_local_failure(error) ? CallError::local_failure : CallError::connect_failed);
         self->send_request();
     });
 }
--- a/tests/client_limits_test.cpp
+++ b/tests/client_limits_test.cpp
@@ -2,7 +2,6 @@
 // happens to new clients while none may be closed, and that descriptors stay reserved for upstreams and
 // discovery.
 #include <gtest/gtest.h>
-#include <sys/resource.h>
 
 #include <algorithm>
 #include <chrono>
@@ -11,6 +10,7 @@
 #include <sstream>
 #include <thread>
 
+#include "lowered_descriptor_limit.h"
 #include "peers.h"
 
 namespace flaxdoor::test {
@@ -74,23 +74,6 @@
     return size.str() + "\r\n" + text + "\r\n";
 }
 
-// Lowers the descriptor limit of the process for the lifetime of this object.
-class LoweredDescriptorLimit {
-public:
-    explicit LoweredDescriptorLimit(rlim_t limit) {
-        EXPECT_EQ(::getrlimit(RLIMIT_NOFILE, &before_), 0);
-        rlimit lowered = before_;
-        lowered.rlim_cur = limit;
-        EXPECT_EQ(::setrlimit(RLIMIT_NOFILE, &lowered), 0);
-    }
-    ~LoweredDescriptorLimit() { ::setrlimit(RLIMIT_NOFILE, &before_); }
-    LoweredDescriptorLimit(const LoweredDescriptorLimit&) = delete;
-    LoweredDescriptorLimit& operator=(const LoweredDescriptorLimit&) = delete;
-
-private:
-    rlimit before_{};
-};
-
 // Of two idle connections only the one that has been idle for 2 s is closed for a new client. The other one
 // is closed for the next client, after its own 2 s.
 TEST(ClientLimits, OnlyAConnectionIdleForTwoSecondsIsReplaced) {
