--- a/src/net/clients.cpp
+++ b/src/net/clients.cpp
@@ -35,13 +35,6 @@
     return message.target().substr(0, message.target().find('?'));
 }
 
-// Returns the status that answers a request which can't be parsed.
-http::status status_for(error_code error) {
-    if (error == http::error::body_limit) return http::status::payload_too_large;
-    if (error == http::error::header_limit) return http::status::request_header_fields_too_large;
-    return http::status::bad_request;
-}
-
 HttpResponse plain_response(http::status status) {
     HttpResponse response(status, 11);
     response.set(http::field::content_type, "text/plain");
@@ -185,7 +178,8 @@
         if (error && error != http::error::need_more) {
             // The end of this request is unknown, so the connection closes after the response.
             keep_alive_ = false;
-            respond(plain_response(status_for(error)));
+            const bool large = error == http::error::body_limit;
+            respond(plain_response(large ? http::status::payload_too_large : http::status::bad_request));
         } else if (parser_->is_done()) {
             dispatch(parser_->release());
         } else if (parser_->is_header_done() && !continue_sent_ &&
