--- a/tests/fleet_discovery_test.cpp
+++ b/tests/fleet_discovery_test.cpp
@@ -233,6 +233,9 @@
     const std::vector<DrainViolation> violations = overloaded.fleet->drain_violations(tolerance);
     Micros latest{};
     for (const DrainViolation& each : violations) latest = std::max(latest, each.late_by);
+    RecordProperty("unserved_requests", static_cast<int>(overloaded.fleet->unserved_count()));
+    RecordProperty("longest_pause_ms",
+                   static_cast<int>(overloaded.fleet->longest_pause(overloaded.down_at) / milliseconds(1)));
     EXPECT_TRUE(violations.empty()) << violations.size() << ", up to " << latest / milliseconds(1)
                                     << " ms late";
 }
