Count the use of a list that discovery never confirmed from the start alone

A process that starts with an old list while discovery refuses connections used it for as long as they were refused. What the list lacks may have been told by discovery before the start, and counts as told 6 s after that at the latest; sends to an upstream that drained then would have gone on.

Change: unreachable_since_loss_ holds only after a reset.

--- a/src/policy/list_subscription.h
+++ b/src/policy/list_subscription.h
@@ -10,10 +10,12 @@
 // How a subscription ended sets when missed changes count as notified:
 //   closed in order  2 s later, or 6 s later if a call has failed by then
 //   reset            the same, and the 6 s start anew with each call that gets no connection, up to the first
-//                    call that gets one
+//                    call that gets one: a process that has died resets its connections and refuses new ones,
+//                    and is taken to stay down from one such call to the next
 //   silent           6 s after the last message, whatever the calls since have shown
 //   moved            4 s later, whatever the calls since have shown
-// A process that has had no subscription yet is treated as after a reset at its start.
+//   none yet         6 s after the start, whatever the calls since have shown: its list may be older than
+//   that
 //
 // A call that gets a connection and then fails, by an error at once, after a wait, or by having no answer,
 // postpones nothing: a crowded discovery fails calls in the same ways as one that is down, and it can be
@@ -72,9 +74,10 @@
     // Time for which the list stays usable after a missed change counts as notified.
     const Micros usable_margin_;
     bool subscribed_ = false;
-    bool list_confirmed_ = false;           // discovery has sent a list to this process
-    bool discovery_up_at_loss_ = false;     // discovery was up when the last subscription ended
-    bool unreachable_since_loss_ = true;    // by a reset, and no call since has got a connection
+    bool list_confirmed_ = false;        // discovery has sent a list to this process
+    bool discovery_up_at_loss_ = false;  // discovery was up when the last subscription ended
+    bool unreachable_since_loss_ =
+        false;  // the last one ended by a reset, and no call since got a connection
     bool discovery_rejects_calls_ = false;  // discovery has immediately rejected a call of this process
     double call_position_ = 0;  // position of this balancer in the order of the fleet's calls, 0 to 1
     int timed_out_calls_ = 0;   // calls since the last subscription ended that timed out or got no connection
