--- a/review/standins-2/rig.h
+++ b/review/standins-2/rig.h
@@ -330,6 +330,7 @@
     std::string invariants = "{\"answer_slack\":8.0,\"ask_within\":10000.0,\"cold_from\":0.16,\"drain_grace\":2000.0,"
                              "\"fall\":1500.0,\"fall_multiple\":3.0,\"ramp_time\":24000.0}";
     int siblings = 1;
+    std::vector<std::pair<std::string, std::string>> changes;  // texts of the settings and what stands in their place
 };
 
 // The classes and limits of the site: `eingang` and `freigabe`, and one class that may be repeated.
@@ -337,7 +338,7 @@
     std::string text = "{\"name\":\"n0\",\"listen\":\"127.0.0.1:" + std::to_string(c.listen_port) +
                        "\",\"discovery\":\"" + c.discovery + "\",\"seed\":\"8c1f30d27a5be964\",\"limits\":" + c.limits;
     if (!c.known.empty()) text += ",\"known\":" + c.known;
-    return text +
+    std::string settings =
            ",\"settings\":{\"rank\":0,\"siblings\":" + std::to_string(c.siblings) +
            ",\"zone\":0,\"zones\":[\"wien-sued\",\"wien-nord\",\"st-poelten\",\"wr-neustadt\"],\"flavors\":[\"std-1\"],"
            "\"tick\":2.0,\"registry_mode\":\"ask\",\"service_type\":\"proxy\",\"weights\":\"off\","
@@ -352,6 +353,12 @@
            "\"parallel_tries\":false,\"peers\":false,\"retry_after\":true,\"streams_per_conn\":1},"
            "\"load_report\":{\"fields\":[],\"how\":\"off\"},\"invariants\":" +
            c.invariants + "}}";
+    for (const auto& [from, to] : c.changes) {
+        const auto at = settings.find(from);
+        if (at == std::string::npos) finish(could_not_run, "no such setting: " + from);
+        settings.replace(at, from.size(), to);
+    }
+    return text + settings;
 }
 
 // Starts the balancer by the deploy file's command `run` (in $RUN), with its log in `folder`, and waits until it says that
